--- /dev/null
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -0,0 +1,92 @@
+// Rate and burst of a client account over the whole fleet. The leader of the
+// control hosts keeps one token bucket for each account and grants tokens to
+// the daemons that ask.
+//
+// Why no window sees more than burst + rate * length: a token is taken from
+// the bucket when it is granted, and an unspent granted token still occupies
+// the bucket, so level + outstanding <= burst at every instant. What is spent
+// in a window was outstanding or in the bucket at its start, or accrued in it.
+// A holder's grant ends by its own clock before this host's record of it does,
+// and a new leader waits until every grant of its predecessor has ended, and
+// starts from an empty bucket.
+#pragma once
+
+#include <map>
+
+#include <jackdawhall/control/effect.hpp>
+#include <jackdawhall/control/machine.hpp>
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::control
+{
+
+// A grant ends this long after its holder sent the request for it.
+inline constexpr duration grant_length = std::chrono::seconds(2);
+// A holder that asked within this time counts as one to share with.
+inline constexpr duration asker_lifetime = std::chrono::seconds(1);
+// When an asker may try again whose tokens lie with other holders.
+inline constexpr duration busy_retry = std::chrono::milliseconds(20);
+
+// Tokens are counted in billionths, so that a rate in thousandths per second
+// accrues exactly over microseconds.
+inline constexpr std::int64_t token_unit = 1'000'000'000;
+
+struct live_grant
+{
+    host_name holder_;
+    std::int64_t remaining_ = 0; // tokens not known to be spent
+    instant ends_;
+    auto operator<=>(live_grant const&) const = default;
+};
+
+struct bucket
+{
+    std::int64_t level_ = 0;       // in token_unit
+    instant accrued_;              // level_ is as of then
+    std::int64_t outstanding_ = 0; // tokens
+    std::map<std::uint64_t, live_grant> grants_;
+    std::map<host_name, instant> askers_;
+    auto operator<=>(bucket const&) const = default;
+};
+
+// Not the leader, or waiting for the predecessor's grants to end.
+struct allocation
+{
+    std::optional<instant> ready_; // nothing: does not allocate
+    std::map<account_name, bucket> buckets_;
+    std::uint64_t last_grant_ = 0;
+    auto operator<=>(allocation const&) const = default;
+};
+
+// Rate and burst of an account.
+struct account_limits
+{
+    std::int64_t milli_rate_ = 0;
+    std::int64_t burst_ = 0;
+    auto operator<=>(account_limits const&) const = default;
+};
+
+// Limits in force for an account, by the newest schema known; nothing if there
+// is no such account.
+std::optional<account_limits>
+limits_of(machine const& m, account_name const& account);
+
+// Starts allocating as a new leader, whose predecessor's grants may still live.
+allocation
+start_allocation(allocation state, std::uint64_t first_grant, instant now);
+
+allocation stop_allocation(allocation state);
+
+struct allocation_step
+{
+    allocation state_;
+    std::optional<grant_response> response_;
+};
+
+// Takes the reports of a request and grants what it asks for, if it can.
+// `may_allocate` says that this host holds the leader's lease.
+allocation_step allocate(
+    allocation state, machine const& m, grant_request const& r,
+    bool may_allocate, instant now);
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/apply_change.cpp
@@ -0,0 +1,200 @@
+#include <jackdawhall/control/apply_command.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::control
+{
+
+namespace
+{
+
+using problem = std::optional<rejected>;
+
+problem check_rate(std::int64_t milli_rate, std::int64_t burst)
+{
+    if (milli_rate < 0 || burst < 0)
+        return rejected{
+            "a rate or a burst is negative", "write 0 or a positive number"};
+    if (milli_rate > 0 && burst == 0)
+        return rejected{
+            "a burst of 0 admits nothing", "write a burst of at least 1"};
+    return std::nullopt;
+}
+
+problem check_route(route_v1 const& route)
+{
+    if (route.path_prefix_.empty() || route.path_prefix_.front() != '/')
+        return rejected{
+            "a route's path does not begin with '/'",
+            "write a path such as /payments"};
+    if (route.service_.empty())
+        return rejected{"a route names no service", "name the service"};
+    if (route.rank_ > lowest_rank)
+        return rejected{
+            "a route's rank is over 9", "write 0 (matters most) to 9"};
+    if (route.timeout_ms_ < 1 || route.timeout_ms_ > 600000)
+        return rejected{
+            "a route's timeout is out of range",
+            "write 1 to 600000 milliseconds"};
+    if (route.open_ && !route.repeatable_)
+        return rejected{
+            "an open route cannot be at most once: it has no client account",
+            "set repeatable, or close the route"};
+    return std::nullopt;
+}
+
+problem check_body(record_body const& body)
+{
+    return std::visit(
+        overloaded{
+            [](account_v1 const& a)
+            { return check_rate(a.milli_rate_, a.burst_); },
+            [](account_v2 const& a)
+            {
+                if (a.retry_percent_ < 0 || a.retry_percent_ > 100)
+                    return problem{rejected{
+                        "a retry share is out of range",
+                        "write 0 to 100 per cent"}};
+                return check_rate(a.milli_rate_, a.burst_);
+            },
+            [](key_v1 const& key) -> problem
+            {
+                if (key.account_.empty() || key.hash_.empty())
+                    return rejected{
+                        "a key has no client account or no hash",
+                        "make keys with 'jackdawhallctl key create'"};
+                return std::nullopt;
+            },
+            [](route_v1 const& route) { return check_route(route); },
+            [](auto const&) { return problem{}; },
+        },
+        body);
+}
+
+std::string summarize(change const& c)
+{
+    std::string text;
+    for (edit const& e : c.edits_)
+    {
+        if (!text.empty())
+            text += ", ";
+        text += (e.body_ ? "put " : "remove ") + to_text(e.key_);
+    }
+    return text;
+}
+
+revision current_revision(machine const& m, record_key const& key)
+{
+    auto const held = m.records_.find(key);
+    return held == m.records_.end() ? 0 : held->second.revision_;
+}
+
+std::optional<change_outcome> find_problem(machine const& m, change const& c)
+{
+    if (c.edits_.empty() || c.edits_.size() > max_edits)
+        return rejected{
+            "a change has no edit, or over " + std::to_string(max_edits),
+            "split it into several changes"};
+    for (std::size_t i = 0; i < c.edits_.size(); ++i)
+    {
+        edit const& e = c.edits_[i];
+        if (std::optional<rejected> const wrong = check_edit(e))
+            return *wrong;
+        bool const twice = std::any_of(
+            c.edits_.begin(), c.edits_.begin() + static_cast<long>(i),
+            [&](edit const& other) { return other.key_ == e.key_; });
+        if (twice)
+            return rejected{
+                "the change edits " + to_text(e.key_) + " twice",
+                "keep one of the edits"};
+        revision const actual = current_revision(m, e.key_);
+        if (actual != e.expected_)
+            return conflict{e.key_, actual};
+    }
+    return std::nullopt;
+}
+
+void remove_record(machine& m, record_key const& key)
+{
+    m.records_.erase(key);
+    m.removals_.push_back({key, m.revision_});
+    if (m.removals_.size() > max_removals)
+    {
+        m.oldest_removal_ = m.removals_.front().revision_;
+        m.removals_.pop_front();
+    }
+}
+
+void make_edits(machine& m, change const& c)
+{
+    ++m.revision_;
+    for (edit const& e : c.edits_)
+    {
+        if (e.body_)
+            m.records_[e.key_] = {e.key_, m.revision_, *e.body_};
+        else
+            remove_record(m, e.key_);
+    }
+}
+
+void remember_outcome(
+    machine& m, std::string const& operation_id, change_outcome const& outcome)
+{
+    m.outcomes_.emplace(operation_id, outcome);
+    m.operations_.push_back(operation_id);
+    if (m.operations_.size() > max_past_operations)
+    {
+        m.outcomes_.erase(m.operations_.front());
+        m.operations_.pop_front();
+    }
+}
+
+void remember_change(machine& m, change_command const& c)
+{
+    m.history_.push_back(
+        {m.revision_, c.when_, c.change_.author_, summarize(c.change_)});
+    if (m.history_.size() > max_history)
+        m.history_.pop_front();
+}
+
+} // namespace
+
+std::optional<rejected> check_edit(edit const& e)
+{
+    if (e.key_.kind_.empty() || e.key_.name_.empty())
+        return rejected{"a record has no kind or no name", "give it both"};
+    if (!e.body_)
+        return std::nullopt;
+    auto const schema = schema_of(*e.body_);
+    if (schema && *schema != std::pair{e.key_.kind_, e.key_.schema_})
+        return rejected{
+            to_text(e.key_) + " holds a body of another kind or schema",
+            "write kind and schema as the body's"};
+    return check_body(*e.body_);
+}
+
+apply_step apply_change(machine m, change_command const& c)
+{
+    change const& wanted = c.change_;
+    auto const known = m.outcomes_.find(wanted.operation_id_);
+    if (known != m.outcomes_.end())
+    {
+        change_outcome const first = known->second;
+        return {std::move(m), change_applied{wanted.operation_id_, first}};
+    }
+    change_outcome outcome;
+    if (std::optional<change_outcome> const wrong = find_problem(m, wanted))
+    {
+        outcome = *wrong;
+    }
+    else
+    {
+        make_edits(m, wanted);
+        remember_change(m, c);
+        outcome = accepted{m.revision_};
+    }
+    remember_outcome(m, wanted.operation_id_, outcome);
+    return {std::move(m), change_applied{wanted.operation_id_, outcome}};
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/apply_command.cpp
@@ -0,0 +1,40 @@
+#include <jackdawhall/control/apply_command.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::control
+{
+
+namespace
+{
+
+// Keys older than the first start of the ledger are refused: a claim under
+// them may have been granted by a ledger that is lost.
+apply_step apply_voters(machine m, voters_command const& c)
+{
+    m.claims_horizon_ = std::max(m.claims_horizon_, c.when_);
+    return {std::move(m), std::monostate{}};
+}
+
+} // namespace
+
+apply_step apply_command(machine m, command const& c)
+{
+    return std::visit(
+        overloaded{
+            [&](no_op const&) {
+                return apply_step{std::move(m), std::monostate{}};
+            },
+            [&](change_command const& made)
+            { return apply_change(std::move(m), made); },
+            [&](claim_command const& made)
+            { return apply_claim(std::move(m), made); },
+            [&](release_command const& made)
+            { return apply_release(std::move(m), made); },
+            [&](voters_command const& made)
+            { return apply_voters(std::move(m), made); },
+        },
+        c);
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/change_voters.cpp
@@ -0,0 +1,152 @@
+// First start, and the return of a host that lost its disk.
+#include <algorithm>
+
+#include <jackdawhall/control/consensus_detail.hpp>
+
+namespace jackdawhall::control::detail
+{
+
+namespace
+{
+
+bool all_are_blank(work const& w)
+{
+    consensus_state const& s = w.state_;
+    return std::all_of(
+        s.settings_.control_hosts_.begin(), s.settings_.control_hosts_.end(),
+        [&](host_name const& host)
+        {
+            if (host == s.settings_.self_)
+                return true;
+            auto const found = s.blank_hosts_.find(host);
+            return found != s.blank_hosts_.end() &&
+                   w.now_ - found->second.heard_ < blank_host_lifetime;
+        });
+}
+
+bool is_first(consensus_state const& s)
+{
+    return !s.settings_.control_hosts_.empty() &&
+           s.settings_.control_hosts_.front() == s.settings_.self_;
+}
+
+// Writes the first entry. Safe only because every control host has said that
+// it holds nothing, by the very disk that the entry names.
+void write_first_entry(work& w, wall_time wall)
+{
+    consensus_state& s = w.state_;
+    std::vector<voter> voters{s.self_};
+    for (auto const& blank : s.blank_hosts_)
+        voters.push_back(blank.second.voter_);
+    std::sort(voters.begin(), voters.end());
+    s.hard_state_ = {1, std::nullopt};
+    save_hard_state(w);
+    save_entries(w, {{1, 1, voters_command{std::move(voters), wall}}});
+    s.election_due_ = w.now_;
+    say(w, "all control hosts are blank; wrote the first entry");
+}
+
+void note_blank_host(work& w, join_request const& m, wall_time wall)
+{
+    consensus_state& s = w.state_;
+    s.blank_hosts_[m.voter_.host_] = {m.voter_, w.now_};
+    if (s.log_.last_index() == 0 && is_first(s) && all_are_blank(w))
+        write_first_entry(w, wall);
+}
+
+bool may_change_voters(consensus_state const& s)
+{
+    leader const& l = std::get<leader>(s.role_);
+    return s.commit_ >= l.first_own_ && s.commit_ >= s.log_.voters_index();
+}
+
+std::vector<voter> without(std::vector<voter> voters, voter const& gone)
+{
+    std::erase(voters, gone);
+    return voters;
+}
+
+void remove_lost_disk(work& w, voter const& lost)
+{
+    leader const& l = std::get<leader>(w.state_.role_);
+    auto const known = l.peers_.find(lost);
+    bool const silent =
+        known == l.peers_.end() ||
+        w.now_ - known->second.heard_ > w.state_.settings_.election_max_;
+    if (!silent || !may_change_voters(w.state_))
+        return;
+    say(w, "removes the lost disk of " + lost.host_.str() + " from the voters");
+    append_command(
+        w, voters_command{without(w.state_.log_.voters(), lost), {}});
+}
+
+void add_when_caught_up(work& w, voter const& joining)
+{
+    consensus_state& s = w.state_;
+    leader& l = std::get<leader>(s.role_);
+    auto const known = l.peers_.find(joining);
+    if (known == l.peers_.end())
+    {
+        std::erase_if(
+            l.peers_, [&](auto const& peer)
+            { return peer.first.host_ == joining.host_; });
+        progress p;
+        p.next_ = s.log_.last_index() + 1;
+        p.heard_ = w.now_;
+        l.peers_.emplace(joining, p);
+        return replicate_to(w, joining, true);
+    }
+    if (known->second.match_ < s.commit_ || !may_change_voters(s))
+        return;
+    std::vector<voter> voters = s.log_.voters();
+    voters.push_back(joining);
+    std::sort(voters.begin(), voters.end());
+    say(w, "adds " + joining.host_.str() + " to the voters");
+    append_command(w, voters_command{std::move(voters), {}});
+}
+
+bool is_control_host(consensus_state const& s, host_name const& host)
+{
+    std::vector<host_name> const& hosts = s.settings_.control_hosts_;
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
+} // namespace
+
+void follow_voters(work& w)
+{
+    consensus_state& s = w.state_;
+    leader& l = std::get<leader>(s.role_);
+    for (voter const& v : s.log_.voters())
+    {
+        if (v == s.self_ || l.peers_.contains(v))
+            continue;
+        progress p;
+        p.next_ = s.log_.last_index();
+        p.heard_ = w.now_;
+        p.acked_ = w.now_ - s.settings_.election_min_;
+        l.peers_.emplace(v, p);
+    }
+}
+
+void handle(work& w, join_request const& m, wall_time wall)
+{
+    consensus_state& s = w.state_;
+    if (!is_control_host(s, m.voter_.host_))
+        return;
+    if (m.blank_)
+        note_blank_host(w, m, wall);
+    if (!is_leader(s) || is_voter(s, m.voter_))
+        return;
+    auto const same_host = std::find_if(
+        s.log_.voters().begin(), s.log_.voters().end(),
+        [&](voter const& v) { return v.host_ == m.voter_.host_; });
+    if (same_host != s.log_.voters().end())
+    {
+        voter const lost = *same_host;
+        return remove_lost_disk(w, lost);
+    }
+    add_when_caught_up(w, m.voter_);
+}
+
+} // namespace jackdawhall::control::detail
--- /dev/null
+++ b/packages/control/jackdawhall/control/distribute_configuration.cpp
@@ -0,0 +1,54 @@
+#include <jackdawhall/control/distribute_configuration.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::control
+{
+
+std::pair<distribution, renewal_answer> renew_lease(
+    distribution state, machine const& m, renewal const& r,
+    knowledge const& known, instant now)
+{
+    state.subscribers_[r.host_] = {
+        r.incarnation_, now, r.have_, r.newest_schema_, r.location_};
+    renewal_answer answer;
+    answer.incarnation_ = r.incarnation_;
+    answer.stamp_ = r.stamp_;
+    answer.confirmed_ = known.age_.has_value();
+    answer.age_ = known.age_.value_or(duration{0});
+    answer.leader_ = known.leader_;
+    if (r.have_ <= m.revision_)
+        answer.update_ = update_since(m, r.have_);
+    return {std::move(state), std::move(answer)};
+}
+
+distribution_step
+push_changes(distribution state, machine const& m, instant now)
+{
+    distribution_step step;
+    if (state.pushed_ == m.revision_)
+    {
+        step.state_ = std::move(state);
+        return step;
+    }
+    std::map<revision, configuration_update> updates;
+    for (auto& [host, daemon] : state.subscribers_)
+    {
+        bool const silent = now - daemon.heard_ > subscriber_lifetime;
+        if (silent || daemon.have_ >= m.revision_)
+            continue;
+        auto const known = updates.find(daemon.have_);
+        configuration_update const& update =
+            known != updates.end()
+                ? known->second
+                : updates.emplace(daemon.have_, update_since(m, daemon.have_))
+                      .first->second;
+        step.effects_.push_back(send{{host, update}});
+        daemon.have_ = m.revision_;
+    }
+    state.pushed_ = m.revision_;
+    step.state_ = std::move(state);
+    return step;
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/machine.cpp
@@ -0,0 +1,82 @@
+#include <jackdawhall/control/machine.hpp>
+
+namespace jackdawhall::control
+{
+
+namespace
+{
+
+void add_claim(machine& m, claim const& c)
+{
+    std::optional<wall_time> const made = uuid_time(c.id_.key_);
+    if (made)
+        m.claims_[*made][c.id_] = {c.body_hash_, c.run_, c.holder_};
+}
+
+} // namespace
+
+snapshot take_snapshot(
+    machine const& m, log_index last_index, term_number last_term,
+    std::vector<voter> voters)
+{
+    snapshot s;
+    s.last_index_ = last_index;
+    s.last_term_ = last_term;
+    s.voters_ = std::move(voters);
+    s.revision_ = m.revision_;
+    s.oldest_removal_ = m.oldest_removal_;
+    for (auto const& held : m.records_)
+        s.records_.push_back(held.second);
+    s.removals_.assign(m.removals_.begin(), m.removals_.end());
+    for (std::string const& id : m.operations_)
+        s.operations_.push_back({id, m.outcomes_.at(id)});
+    s.history_.assign(m.history_.begin(), m.history_.end());
+    for (auto const& at : m.claims_)
+    {
+        for (auto const& [id, held] : at.second)
+            s.claims_.push_back({id, held.body_hash_, held.run_, held.holder_});
+    }
+    s.claims_horizon_ = m.claims_horizon_;
+    return s;
+}
+
+machine from_snapshot(snapshot const& s)
+{
+    machine m;
+    m.revision_ = s.revision_;
+    m.oldest_removal_ = s.oldest_removal_;
+    for (record const& r : s.records_)
+        m.records_.emplace(r.key_, r);
+    m.removals_.assign(s.removals_.begin(), s.removals_.end());
+    for (past_operation const& operation : s.operations_)
+    {
+        m.operations_.push_back(operation.operation_id_);
+        m.outcomes_.emplace(operation.operation_id_, operation.outcome_);
+    }
+    m.history_.assign(s.history_.begin(), s.history_.end());
+    for (claim const& c : s.claims_)
+        add_claim(m, c);
+    m.claims_horizon_ = s.claims_horizon_;
+    return m;
+}
+
+configuration_update update_since(machine const& m, revision have)
+{
+    configuration_update update;
+    update.from_ = have;
+    update.to_ = m.revision_;
+    update.whole_ = have < m.oldest_removal_ || have > m.revision_ || have == 0;
+    for (auto const& held : m.records_)
+    {
+        if (update.whole_ || held.second.revision_ > have)
+            update.records_.push_back(held.second);
+    }
+    for (removal const& gone : m.removals_)
+    {
+        if (!update.whole_ && gone.revision_ > have)
+            update.removals_.push_back(gone);
+    }
+    return update;
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/machine.hpp
@@ -0,0 +1,64 @@
+// State that the replicated log leads to: configuration records, outcomes of
+// operations, history and claims. Every control host applies the same commands
+// in the same order and so holds the same machine.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::control
+{
+
+// Outcomes kept for resends of an operation: over three days at 16,000 a day.
+inline constexpr std::size_t max_past_operations = 50000;
+inline constexpr std::size_t max_history = 10000;
+// Removals kept so that a daemon behind can be sent the difference.
+inline constexpr std::size_t max_removals = 4096;
+inline constexpr std::size_t max_edits = 1000; // in one change
+
+// A claim is remembered for this long after the time in its key.
+inline constexpr std::chrono::milliseconds claim_retention =
+    std::chrono::hours(1);
+// A key further in the future than this is refused.
+inline constexpr std::chrono::milliseconds claim_future_limit =
+    std::chrono::minutes(1);
+
+// A claim in the ledger, without its id.
+struct held_claim
+{
+    std::string body_hash_;
+    std::string run_;
+    host_name holder_;
+    auto operator<=>(held_claim const&) const = default;
+};
+
+struct machine
+{
+    std::map<record_key, record> records_;
+    std::deque<removal> removals_; // oldest first
+    revision revision_ = 0;
+    revision oldest_removal_ = 0; // removals up to here are forgotten
+    std::map<std::string, change_outcome> outcomes_; // by operation id
+    std::deque<std::string> operations_;             // oldest first
+    std::deque<past_change> history_;                // oldest first
+    // By the time in the key, so that old ones are dropped from the front.
+    std::map<wall_time, std::map<claim_id, held_claim>> claims_;
+    wall_time claims_horizon_; // keys older than this are refused
+    auto operator<=>(machine const&) const = default;
+};
+
+// Snapshot of `m` as of the entry `last_index`.
+snapshot take_snapshot(
+    machine const& m, log_index last_index, term_number last_term,
+    std::vector<voter> voters);
+
+machine from_snapshot(snapshot const& s);
+
+// What a daemon that has `have` needs to reach the machine's revision.
+configuration_update update_since(machine const& m, revision have);
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -0,0 +1,120 @@
+#include <jackdawhall/control/passage.hpp>
+
+#include <iterator>
+
+namespace jackdawhall::control
+{
+
+namespace
+{
+
+std::optional<consensus_message> consensus_part(message const& m)
+{
+    using part = std::optional<consensus_message>;
+    return std::visit(
+        overloaded{
+            [](vote_request const& v) { return part{v}; },
+            [](vote_response const& v) { return part{v}; },
+            [](append_request const& v) { return part{v}; },
+            [](append_response const& v) { return part{v}; },
+            [](install_snapshot const& v) { return part{v}; },
+            [](join_request const& v) { return part{v}; },
+            [](auto const&) { return part{}; },
+        },
+        m);
+}
+
+void serve_snapshots(passage& p, std::vector<voter> const& wanted)
+{
+    for (voter const& target : wanted)
+    {
+        consensus_state& c = p.state_.consensus_;
+        log_index const applied = c.delivered_;
+        snapshot const taken = take_snapshot(
+            p.state_.machine_, applied, c.log_.term_at(applied).value_or(0),
+            c.log_.voters());
+        take_output(p, send_snapshot(std::move(c), target, taken, p.at_.now_));
+    }
+}
+
+} // namespace
+
+void take_output(passage& p, consensus_step step)
+{
+    p.state_.consensus_ = std::move(step.state_);
+    consensus_output& out = step.output_;
+    if (out.installed_)
+    {
+        p.state_.machine_ = from_snapshot(*out.installed_);
+        p.committed_.clear();
+    }
+    std::move(
+        out.effects_.begin(), out.effects_.end(),
+        std::back_inserter(p.effects_));
+    std::move(
+        out.committed_.begin(), out.committed_.end(),
+        std::back_inserter(p.committed_));
+    p.became_leader_ = p.became_leader_ || out.became_leader_;
+    serve_snapshots(p, out.snapshot_wanted_);
+}
+
+void propose_commands(passage& p, std::vector<command> commands)
+{
+    take_output(
+        p,
+        propose(
+            std::move(p.state_.consensus_), std::move(commands), p.at_.now_));
+}
+
+passage run_consensus(passage p)
+{
+    consensus_state& c = p.state_.consensus_;
+    std::visit(
+        overloaded{
+            [&](received const& r)
+            {
+                std::optional<consensus_message> const m =
+                    consensus_part(r.message_);
+                if (m)
+                    take_output(p, receive(std::move(c), *m, p.at_));
+            },
+            [&](time_passed const&)
+            { take_output(p, pass_time(std::move(c), p.at_)); },
+            [&](stores_synced const& synced) {
+                take_output(
+                    p, disk_synced(std::move(c), synced.number_, p.at_.now_));
+            },
+            [](operator_change const&) {},
+        },
+        p.input_);
+    return p;
+}
+
+passage apply_committed(passage p)
+{
+    for (log_entry const& entry : p.committed_)
+    {
+        apply_step step =
+            apply_command(std::move(p.state_.machine_), entry.command_);
+        p.state_.machine_ = std::move(step.machine_);
+        p.applied_.push_back(std::move(step.applied_));
+    }
+    return p;
+}
+
+passage keep_snapshot(passage p)
+{
+    consensus_state& c = p.state_.consensus_;
+    std::size_t const held = c.delivered_ - c.log_.base_index();
+    std::size_t const most =
+        c.settings_.snapshot_entries_ + c.settings_.trailing_entries_;
+    if (held < most)
+        return p;
+    snapshot taken = take_snapshot(
+        p.state_.machine_, c.delivered_, *c.log_.term_at(c.delivered_),
+        c.log_.voters());
+    take_output(p, compact(std::move(c), std::move(taken)));
+    return p;
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -0,0 +1,76 @@
+#include <jackdawhall/control/passage.hpp>
+
+#include <iterator>
+
+namespace jackdawhall::control
+{
+
+namespace
+{
+
+void add_effects(passage& p, effects more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(p.effects_));
+}
+
+void answer_renewal(passage& p, renewal const& r)
+{
+    state& s = p.state_;
+    instant const now = p.at_.now_;
+    s.membership_ = take_announcement(std::move(s.membership_), r, now);
+    knowledge const known{
+        knowledge_age(s.consensus_, now),
+        leader_of(s.consensus_).value_or(host_name{})};
+    auto [renewed, answer] =
+        renew_lease(std::move(s.distribution_), s.machine_, r, known, now);
+    s.distribution_ = std::move(renewed);
+    answer.membership_version_ = s.membership_.version_;
+    answer.services_ = changed_services(s.membership_, r);
+    p.effects_.push_back(send{{r.host_, std::move(answer)}});
+}
+
+} // namespace
+
+passage distribute(passage p)
+{
+    state& s = p.state_;
+    if (renewal const* r = received_as<renewal>(p))
+        answer_renewal(p, *r);
+    distribution_step step =
+        push_changes(std::move(s.distribution_), s.machine_, p.at_.now_);
+    s.distribution_ = std::move(step.state_);
+    add_effects(p, std::move(step.effects_));
+    return p;
+}
+
+passage exchange_membership(passage p)
+{
+    membership& m = p.state_.membership_;
+    membership_step step;
+    if (membership_report const* r = received_as<membership_report>(p))
+        step = take_report(std::move(m), *r, p.at_.now_);
+    else if (membership_wanted const* w = received_as<membership_wanted>(p))
+        step = report_whole(std::move(m), *w);
+    else
+        step = pass_time(std::move(m), p.at_.now_);
+    m = std::move(step.state_);
+    add_effects(p, std::move(step.effects_));
+    return p;
+}
+
+passage grant_tokens(passage p)
+{
+    grant_request const* r = received_as<grant_request>(p);
+    if (!r)
+        return p;
+    state& s = p.state_;
+    allocation_step step = allocate(
+        std::move(s.allocation_), s.machine_, *r,
+        holds_lease(s.consensus_, p.at_.now_), p.at_.now_);
+    s.allocation_ = std::move(step.state_);
+    if (step.response_)
+        p.effects_.push_back(send{{r->host_, std::move(*step.response_)}});
+    return p;
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -0,0 +1,264 @@
+#include <jackdawhall/control/track_membership.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::control
+{
+
+namespace
+{
+
+server_key key_of(backend_server const& server)
+{
+    return {server.host_, server.id_};
+}
+
+void put_server(
+    membership& m, host_name const& reporter, backend_server const& server)
+{
+    service_members& members = m.services_[server.service_];
+    std::map<host_name, backend_server>& known =
+        members.servers_[key_of(server)];
+    auto const held = known.find(reporter);
+    if (held != known.end() && held->second == server)
+        return;
+    known.insert_or_assign(reporter, server);
+    members.version_ = ++m.version_;
+}
+
+void remove_server(
+    membership& m, host_name const& reporter, backend_server const& server)
+{
+    auto const service = m.services_.find(server.service_);
+    if (service == m.services_.end())
+        return;
+    auto const known = service->second.servers_.find(key_of(server));
+    if (known == service->second.servers_.end())
+        return;
+    known->second.erase(reporter);
+    if (known->second.empty())
+        service->second.servers_.erase(known);
+    service->second.version_ = ++m.version_;
+}
+
+// Replaces the servers of one attached daemon.
+void replace_attached(
+    membership& m, host_name const& host,
+    std::vector<backend_server> const& servers)
+{
+    attached_daemon& daemon = m.attached_[host];
+    for (backend_server const& old : daemon.servers_)
+    {
+        bool const stays = std::any_of(
+            servers.begin(), servers.end(),
+            [&](backend_server const& now) {
+                return key_of(now) == key_of(old) &&
+                       now.service_ == old.service_;
+            });
+        if (stays)
+            continue;
+        remove_server(m, m.self_, old);
+        m.changed_.insert(key_of(old));
+    }
+    for (backend_server const& server : servers)
+    {
+        auto const same =
+            std::find(daemon.servers_.begin(), daemon.servers_.end(), server);
+        if (same != daemon.servers_.end())
+            continue;
+        put_server(m, m.self_, server);
+        m.changed_.insert(key_of(server));
+    }
+    daemon.servers_ = servers;
+}
+
+std::map<server_key, backend_server> own_servers(membership const& m)
+{
+    std::map<server_key, backend_server> own;
+    for (auto const& daemon : m.attached_)
+    {
+        for (backend_server const& server : daemon.second.servers_)
+            own.emplace(key_of(server), server);
+    }
+    return own;
+}
+
+void drop_silent_daemons(membership& m, instant now)
+{
+    std::vector<host_name> silent;
+    for (auto const& [host, daemon] : m.attached_)
+    {
+        if (now - daemon.heard_ > announcement_lifetime)
+            silent.push_back(host);
+    }
+    for (host_name const& host : silent)
+    {
+        replace_attached(m, host, {});
+        m.attached_.erase(host);
+    }
+}
+
+void drop_origin(membership& m, host_name const& host)
+{
+    auto const known = m.origins_.find(host);
+    if (known == m.origins_.end())
+        return;
+    for (auto const& server : known->second.servers_)
+        remove_server(m, host, server.second);
+    m.origins_.erase(known);
+}
+
+void drop_silent_origins(membership& m, instant now)
+{
+    std::vector<host_name> silent;
+    for (auto const& [host, known] : m.origins_)
+    {
+        if (now - known.heard_ > origin_lifetime)
+            silent.push_back(host);
+    }
+    for (host_name const& host : silent)
+        drop_origin(m, host);
+}
+
+membership_report whole_report(membership const& m)
+{
+    membership_report report{m.self_, m.incarnation_, 0, m.reported_, {}, {}};
+    for (auto const& server : own_servers(m))
+        report.present_.push_back(server.second);
+    return report;
+}
+
+membership_report next_report(membership& m)
+{
+    membership_report report{
+        m.self_, m.incarnation_, m.reported_, m.reported_, {}, {}};
+    if (m.changed_.empty())
+        return report;
+    report.to_version_ = ++m.reported_;
+    std::map<server_key, backend_server> const own = own_servers(m);
+    for (server_key const& key : m.changed_)
+    {
+        auto const server = own.find(key);
+        if (server != own.end())
+            report.present_.push_back(server->second);
+        else
+            report.gone_.push_back(key);
+    }
+    m.changed_.clear();
+    return report;
+}
+
+void take_servers(
+    membership& m, host_name const& host, membership_report const& report)
+{
+    origin& from = m.origins_[host];
+    for (server_key const& key : report.gone_)
+    {
+        auto const known = from.servers_.find(key);
+        if (known == from.servers_.end())
+            continue;
+        remove_server(m, host, known->second);
+        from.servers_.erase(known);
+    }
+    for (backend_server const& server : report.present_)
+    {
+        auto const known = from.servers_.find(key_of(server));
+        if (known != from.servers_.end() &&
+            known->second.service_ != server.service_)
+            remove_server(m, host, known->second);
+        from.servers_.insert_or_assign(key_of(server), server);
+        put_server(m, host, server);
+    }
+}
+
+} // namespace
+
+membership take_announcement(membership state, renewal const& r, instant now)
+{
+    replace_attached(state, r.host_, r.servers_);
+    state.attached_[r.host_].heard_ = now;
+    return state;
+}
+
+std::vector<service_servers>
+changed_services(membership const& state, renewal const& r)
+{
+    std::vector<service_servers> changed;
+    for (service_name const& wanted : r.wanted_)
+    {
+        auto const service = state.services_.find(wanted);
+        bool const is_new = service != state.services_.end() &&
+                            (service->second.version_ > r.membership_version_ ||
+                             r.membership_version_ > state.version_);
+        if (is_new)
+            changed.push_back({wanted, servers_of(state, wanted)});
+    }
+    return changed;
+}
+
+membership_step
+take_report(membership state, membership_report const& report, instant now)
+{
+    membership_step step{std::move(state), {}};
+    membership& m = step.state_;
+    bool const whole = report.from_version_ == 0;
+    auto const known = m.origins_.find(report.origin_);
+    bool const follows = known != m.origins_.end() &&
+                         known->second.incarnation_ == report.incarnation_ &&
+                         known->second.version_ == report.from_version_;
+    if (!whole && !follows)
+    {
+        step.effects_.push_back(
+            send{{report.origin_, membership_wanted{m.self_}}});
+        return step;
+    }
+    if (whole)
+        drop_origin(m, report.origin_);
+    take_servers(m, report.origin_, report);
+    origin& from = m.origins_[report.origin_];
+    from.incarnation_ = report.incarnation_;
+    from.version_ = report.to_version_;
+    from.heard_ = now;
+    return step;
+}
+
+membership_step report_whole(membership state, membership_wanted const& wanted)
+{
+    membership_step step{std::move(state), {}};
+    step.effects_.push_back(send{{wanted.asker_, whole_report(step.state_)}});
+    return step;
+}
+
+membership_step pass_time(membership state, instant now)
+{
+    membership_step step{std::move(state), {}};
+    membership& m = step.state_;
+    if (now < m.report_due_ && m.changed_.empty())
+        return step;
+    drop_silent_daemons(m, now);
+    drop_silent_origins(m, now);
+    m.report_due_ = now + report_interval;
+    membership_report const report = next_report(m);
+    for (host_name const& other : m.others_)
+        step.effects_.push_back(send{{other, report}});
+    return step;
+}
+
+std::vector<backend_server>
+servers_of(membership const& state, service_name const& service)
+{
+    std::vector<backend_server> servers;
+    auto const known = state.services_.find(service);
+    if (known == state.services_.end())
+        return servers;
+    for (auto const& server : known->second.servers_)
+    {
+        auto const own = server.second.find(state.self_);
+        servers.push_back(
+            own != server.second.end() ? own->second
+                                       : server.second.begin()->second);
+    }
+    return servers;
+}
+
+} // namespace jackdawhall::control
--- /dev/null
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -0,0 +1,435 @@
+// Messages between daemons. Every message is a value; package wire turns it
+// into bytes and back, and nothing else knows how.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <jackdawhall/model/name.hpp>
+#include <jackdawhall/model/record.hpp>
+#include <jackdawhall/model/request.hpp>
+#include <jackdawhall/model/server.hpp>
+#include <jackdawhall/model/time.hpp>
+#include <jackdawhall/model/verdict.hpp>
+
+namespace jackdawhall
+{
+
+// --- Replicated log -------------------------------------------------------
+
+using term_number = std::uint64_t;
+using log_index = std::uint64_t; // the first entry has index 1
+
+// A control host together with the identity of its disk. A host that lost its
+// disk comes back as another voter.
+struct voter
+{
+    host_name host_;
+    std::uint64_t disk_ = 0;
+    auto operator<=>(voter const&) const = default;
+};
+
+// Identifies a request that may not be repeated.
+struct claim_id
+{
+    account_name account_;
+    std::string key_; // UUIDv7
+    auto operator<=>(claim_id const&) const = default;
+};
+
+// Appended by a new leader to commit what its predecessors left.
+struct no_op
+{
+    auto operator<=>(no_op const&) const = default;
+};
+struct change_command
+{
+    change change_;
+    wall_time when_;
+    auto operator<=>(change_command const&) const = default;
+};
+struct claim_command
+{
+    claim_id id_;
+    std::string body_hash_;
+    std::string run_; // of the holder; a resend of the claim has the same
+    host_name holder_;
+    wall_time when_;
+    auto operator<=>(claim_command const&) const = default;
+};
+// Gives a claim back whose request was proven not to have run.
+struct release_command
+{
+    claim_id id_;
+    std::string run_;
+    host_name holder_;
+    auto operator<=>(release_command const&) const = default;
+};
+struct voters_command
+{
+    std::vector<voter> voters_; // in order
+    wall_time when_;            // first one: keys older than this are refused
+    auto operator<=>(voters_command const&) const = default;
+};
+
+using command = std::variant<
+    no_op, change_command, claim_command, release_command, voters_command>;
+
+struct log_entry
+{
+    log_index index_ = 0;
+    term_number term_ = 0;
+    command command_;
+    auto operator<=>(log_entry const&) const = default;
+};
+
+// A claim that was granted.
+struct claim
+{
+    claim_id id_;
+    std::string body_hash_;
+    std::string run_;
+    host_name holder_;
+    auto operator<=>(claim const&) const = default;
+};
+
+struct past_operation
+{
+    std::string operation_id_;
+    change_outcome outcome_;
+    auto operator<=>(past_operation const&) const = default;
+};
+
+// All that the replicated log has led to, up to an entry.
+struct snapshot
+{
+    log_index last_index_ = 0;
+    term_number last_term_ = 0;
+    std::vector<voter> voters_;
+    revision revision_ = 0;
+    revision oldest_removal_ = 0; // removals up to here are forgotten
+    std::vector<record> records_;
+    std::vector<removal> removals_;
+    std::vector<past_operation> operations_; // oldest first
+    std::vector<past_change> history_;       // oldest first
+    std::vector<claim> claims_;
+    wall_time claims_horizon_; // keys older than this are refused
+    auto operator<=>(snapshot const&) const = default;
+};
+
+struct vote_request
+{
+    term_number term_ = 0;
+    voter candidate_;
+    voter asked_; // whom the candidate believes it asks
+    log_index last_index_ = 0;
+    term_number last_term_ = 0;
+    bool trial_ = false; // asks only whether it could win
+    auto operator<=>(vote_request const&) const = default;
+};
+struct vote_response
+{
+    term_number term_ = 0;
+    voter voter_;
+    bool trial_ = false;
+    bool granted_ = false;
+    auto operator<=>(vote_response const&) const = default;
+};
+struct append_request
+{
+    term_number term_ = 0;
+    host_name leader_;
+    log_index previous_index_ = 0;
+    term_number previous_term_ = 0;
+    std::vector<log_entry> entries_;
+    log_index commit_ = 0;
+    std::int64_t round_ = 0; // instant of sending, by the leader's clock
+    std::int64_t echo_ = 0;  // last stamp_ seen from this follower
+    std::uint64_t echo_incarnation_ = 0; // incarnation_ that came with it
+    duration majority_age_{0};   // since a majority followed this leader
+    bool commit_is_own_ = false; // commit_ covers an entry of this term
+    auto operator<=>(append_request const&) const = default;
+};
+struct append_response
+{
+    term_number term_ = 0;
+    voter voter_;
+    bool success_ = false;
+    log_index match_ = 0; // last entry known equal, or a hint where to resume
+    std::int64_t round_ = 0; // echoed
+    std::int64_t stamp_ = 0; // instant of sending, by the follower's clock
+    std::uint64_t incarnation_ = 0; // differs for each run of the follower
+    auto operator<=>(append_response const&) const = default;
+};
+struct install_snapshot
+{
+    term_number term_ = 0;
+    host_name leader_;
+    snapshot snapshot_;
+    std::int64_t round_ = 0;
+    auto operator<=>(install_snapshot const&) const = default;
+};
+// Sent by a control host that is not a voter yet.
+struct join_request
+{
+    voter voter_;
+    bool blank_ = true; // has no entry at all
+    auto operator<=>(join_request const&) const = default;
+};
+
+// --- Configuration and membership -----------------------------------------
+
+// Records changed after `from_`, up to `to_`.
+struct configuration_update
+{
+    revision from_ = 0;
+    revision to_ = 0;
+    bool whole_ = false; // replaces everything
+    std::vector<record> records_;
+    std::vector<removal> removals_;
+    auto operator<=>(configuration_update const&) const = default;
+};
+
+// A daemon renews its freshness lease and announces its backend servers.
+struct renewal
+{
+    host_name host_;
+    std::uint64_t incarnation_ = 0; // differs for each run of the daemon
+    std::int64_t stamp_ = 0;        // instant of sending, by its clock
+    revision have_ = 0;
+    std::uint32_t newest_schema_ = 1;
+    location location_;
+    std::vector<backend_server> servers_;
+    std::vector<service_name> wanted_; // services that it calls
+    std::uint64_t membership_version_ = 0;
+    auto operator<=>(renewal const&) const = default;
+};
+
+struct service_servers
+{
+    service_name service_;
+    std::vector<backend_server> servers_;
+    auto operator<=>(service_servers const&) const = default;
+};
+
+struct renewal_answer
+{
+    std::uint64_t incarnation_ = 0; // echoed
+    std::int64_t stamp_ = 0;        // echoed
+    duration age_{0};        // how old the control host's knowledge is at most
+    bool confirmed_ = false; // age_ is known
+    configuration_update update_;
+    host_name leader_; // empty: unknown
+    std::uint64_t membership_version_ = 0;
+    std::vector<service_servers> services_; // those that changed
+    auto operator<=>(renewal_answer const&) const = default;
+};
+
+// A control host tells another which backend servers are attached to it.
+struct membership_report
+{
+    host_name origin_;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t from_version_ = 0; // 0: whole
+    std::uint64_t to_version_ = 0;
+    std::vector<backend_server> present_;
+    std::vector<std::pair<host_name, std::string>> gone_; // host, server id
+    auto operator<=>(membership_report const&) const = default;
+};
+struct membership_wanted
+{
+    host_name asker_;
+    auto operator<=>(membership_wanted const&) const = default;
+};
+
+// --- Rate grants ------------------------------------------------------------
+
+// What a holder has left of a grant.
+struct grant_report
+{
+    std::uint64_t grant_ = 0;
+    std::int64_t remaining_ = 0; // tokens
+    bool closed_ = false;        // the remaining tokens are given back
+    auto operator<=>(grant_report const&) const = default;
+};
+struct grant_request
+{
+    host_name host_;
+    std::uint64_t incarnation_ = 0;
+    account_name account_;
+    std::uint64_t number_ = 0; // 0: a report that asks for nothing
+    std::int64_t waiting_ = 0; // calls that wait for a token
+    std::int64_t wanted_ = 0;  // tokens for calls expected soon
+    std::vector<grant_report> reports_;
+    auto operator<=>(grant_request const&) const = default;
+};
+enum class grant_result : std::uint8_t
+{
+    granted,
+    exhausted,   // the account's rate is used up
+    unavailable, // this host does not allocate now
+    last_ = unavailable
+};
+struct grant_response
+{
+    std::uint64_t incarnation_ = 0; // of the holder, echoed
+    account_name account_;
+    std::uint64_t number_ = 0;
+    grant_result result_ = grant_result::unavailable;
+    std::uint64_t grant_ = 0;
+    std::int64_t tokens_ = 0;
+    duration length_{0}; // from the holder's sending of the request
+    duration retry_after_{0};
+    auto operator<=>(grant_response const&) const = default;
+};
+
+// --- Claims
+// -------------------------------------------------------------------
+
+struct claim_request
+{
+    claim_id id_;
+    std::string body_hash_;
+    std::string run_;
+    host_name holder_;
+    auto operator<=>(claim_request const&) const = default;
+};
+enum class claim_result : std::uint8_t
+{
+    granted,
+    held,        // by another run: the request may have run
+    mismatched,  // the key was used for another body
+    expired,     // the key is older than the ledger remembers
+    too_new,     // the key's time lies in the future
+    unavailable, // nothing was decided, or nobody knows yet
+    last_ = unavailable
+};
+struct claim_response
+{
+    claim_id id_;
+    std::string run_;
+    claim_result result_ = claim_result::unavailable;
+    host_name holder_; // of the claim that stands
+    host_name asker_;  // to whom this goes
+    auto operator<=>(claim_response const&) const = default;
+};
+struct claim_release
+{
+    claim_id id_;
+    std::string run_;
+    host_name holder_;
+    auto operator<=>(claim_release const&) const = default;
+};
+struct claim_released
+{
+    claim_id id_;
+    std::string run_;
+    host_name holder_;
+    auto operator<=>(claim_released const&) const = default;
+};
+
+// Asks the holder of a claim what became of the request.
+struct outcome_request
+{
+    std::uint64_t number_ = 0;
+    claim_id id_;
+    auto operator<=>(outcome_request const&) const = default;
+};
+struct outcome_response
+{
+    std::uint64_t number_ = 0;
+    verdict verdict_;
+    auto operator<=>(outcome_response const&) const = default;
+};
+
+// --- Operators
+// ------------------------------------------------------------------
+
+// A change handed on to the leader.
+struct change_request
+{
+    std::uint64_t number_ = 0;
+    host_name asker_;
+    change change_;
+    auto operator<=>(change_request const&) const = default;
+};
+struct change_response
+{
+    std::uint64_t number_ = 0;
+    change_outcome outcome_;
+    auto operator<=>(change_response const&) const = default;
+};
+
+// --- Calls
+// -----------------------------------------------------------------------
+
+// Who a call runs for; it goes down the chain with it.
+struct call_context
+{
+    std::string root_;     // request id of the first call of the chain
+    account_name account_; // empty: an open route
+    rank rank_ = lowest_rank;
+    duration timeout_{0};       // left to answer the caller
+    std::uint32_t retries_ = 0; // that may be spent below
+    std::uint32_t depth_ = 0;
+    bool repeatable_ = false;
+    auto operator<=>(call_context const&) const = default;
+};
+
+struct forward
+{
+    std::uint64_t number_ = 0;
+    service_name service_;
+    std::string server_id_;
+    call_context context_;
+    std::string suspect_; // fingerprint by which a crash is attributed
+    request request_;
+    auto operator<=>(forward const&) const = default;
+};
+struct forward_answer
+{
+    std::uint64_t number_ = 0;
+    verdict verdict_;
+    std::uint32_t retries_unused_ = 0;
+    rank admitted_ = lowest_rank; // least important rank the gate admits
+    std::uint32_t in_use_ = 0;    // runs and queued calls at the gate
+    std::uint32_t limit_ = 0;     // runs at once that the gate allows
+    bool shed_ = false; // the backend server itself answered 503, and none of
+                        // its own calls had failed
+    auto operator<=>(forward_answer const&) const = default;
+};
+struct cancel_forward
+{
+    std::uint64_t number_ = 0;
+    auto operator<=>(cancel_forward const&) const = default;
+};
+// A backend server crashed; these requests, by fingerprint, were running.
+struct crash_report
+{
+    host_name host_;
+    std::string server_id_;
+    std::vector<std::string> suspects_;
+    auto operator<=>(crash_report const&) const = default;
+};
+using message = std::variant<
+    vote_request, vote_response, append_request, append_response,
+    install_snapshot, join_request, renewal, renewal_answer,
+    configuration_update, membership_report, membership_wanted, grant_request,
+    grant_response, claim_request, claim_response, claim_release,
+    claim_released, outcome_request, outcome_response, change_request,
+    change_response, forward, forward_answer, cancel_forward, crash_report>;
+
+// A message to send.
+struct outgoing
+{
+    host_name to_;
+    message message_;
+    auto operator<=>(outgoing const&) const = default;
+};
+
+} // namespace jackdawhall
--- /dev/null
+++ b/packages/model/jackdawhall/model/node.hpp
@@ -0,0 +1,41 @@
+// Inputs and effects that every kind of node has. A front end gives a node
+// inputs and carries out its effects in order; it decides nothing itself.
+#pragma once
+
+#include <compare>
+#include <string>
+
+#include <jackdawhall/model/message.hpp>
+
+namespace jackdawhall
+{
+
+// Input: a message came from another daemon, or from this one.
+struct received
+{
+    host_name from_;
+    message message_;
+    auto operator<=>(received const&) const = default;
+};
+
+// Input: the instant that the node gave as next_due has come.
+struct time_passed
+{
+    auto operator<=>(time_passed const&) const = default;
+};
+
+// Effect: send a message to a daemon, or to this one.
+struct send
+{
+    outgoing outgoing_;
+    auto operator<=>(send const&) const = default;
+};
+
+// Effect: write a line to the log.
+struct note
+{
+    std::string text_;
+    auto operator<=>(note const&) const = default;
+};
+
+} // namespace jackdawhall
--- /dev/null
+++ b/packages/model/jackdawhall/model/reason.hpp
@@ -0,0 +1,71 @@
+// Why a request was refused or retried. Each reason has a counter.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace jackdawhall
+{
+
+// Reasons for which a request did not run. Proven: no byte of the request
+// reached a backend server.
+enum class refusal_reason : std::uint8_t
+{
+    malformed,
+    too_large,
+    no_route,
+    no_fresh_configuration,
+    key_missing,
+    key_unknown,
+    key_withdrawn,
+    ticket_invalid,
+    rate_exceeded,
+    rate_unavailable,
+    deadline_passed,
+    idempotency_key_missing,
+    idempotency_key_invalid,
+    idempotency_key_too_new,
+    idempotency_key_reused,
+    ledger_unavailable,
+    quarantined,
+    retries_spent,
+    no_server,
+    shed_at_entry,
+    shed_at_gate,
+    server_draining,
+    connect_failed,
+    stopping,
+    cancelled,
+    overloaded,
+    last_ = overloaded
+};
+
+// Reasons for which nobody can tell whether a request ran.
+enum class doubt_reason : std::uint8_t
+{
+    connection_lost,
+    answer_incomplete,
+    answer_too_large,
+    deadline_passed,
+    already_claimed,
+    idempotency_key_expired,
+    peer_lost,
+    cancelled,
+    last_ = cancelled
+};
+
+// Reasons for which a daemon tries a request again.
+enum class retry_reason : std::uint8_t
+{
+    refused_by_gate,
+    connect_failed,
+    repeatable_lost,
+    repeatable_failed,
+    last_ = repeatable_failed
+};
+
+std::string_view to_text(refusal_reason reason);
+std::string_view to_text(doubt_reason reason);
+std::string_view to_text(retry_reason reason);
+
+} // namespace jackdawhall
--- /dev/null
+++ b/packages/model/jackdawhall/model/record.cpp
@@ -0,0 +1,43 @@
+#include <jackdawhall/model/record.hpp>
+
+#include <jackdawhall/model/verdict.hpp>
+
+namespace jackdawhall
+{
+
+std::string to_text(record_key const& key)
+{
+    return key.kind_ + "/" + key.name_ + "@" + std::to_string(key.schema_);
+}
+
+std::optional<std::pair<std::string, std::uint32_t>>
+schema_of(record_body const& body)
+{
+    using schema = std::pair<std::string, std::uint32_t>;
+    return std::visit(
+        overloaded{
+            [](account_v1 const&) -> std::optional<schema> {
+                return schema{"account", 1};
+            },
+            [](account_v2 const&) -> std::optional<schema> {
+                return schema{"account", 2};
+            },
+            [](key_v1 const&) -> std::optional<schema> {
+                return schema{"key", 1};
+            },
+            [](route_v1 const&) -> std::optional<schema> {
+                return schema{"route", 1};
+            },
+            [](service_v1 const&) -> std::optional<schema> {
+                return schema{"service", 1};
+            },
+            [](suspect_v1 const&) -> std::optional<schema> {
+                return schema{"suspect", 1};
+            },
+            [](unknown_record const&) -> std::optional<schema>
+            { return std::nullopt; },
+        },
+        body);
+}
+
+} // namespace jackdawhall
--- /dev/null
+++ b/packages/model/jackdawhall/model/uuid.cpp
@@ -0,0 +1,71 @@
+#include <jackdawhall/model/uuid.hpp>
+
+#include <cstdio>
+
+namespace jackdawhall
+{
+
+namespace
+{
+
+constexpr std::size_t uuid_characters = 36;
+constexpr std::size_t version_position = 14;
+constexpr std::size_t variant_position = 19;
+
+bool is_dash_position(std::size_t i)
+{
+    return i == 8 || i == 13 || i == 18 || i == 23;
+}
+
+int hex_value(char c)
+{
+    if (c >= '0' && c <= '9')
+        return c - '0';
+    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+bool is_uuid(std::string_view text)
+{
+    if (text.size() != uuid_characters)
+        return false;
+    for (std::size_t i = 0; i < uuid_characters; ++i)
+    {
+        bool const fits =
+            is_dash_position(i) ? text[i] == '-' : hex_value(text[i]) >= 0;
+        if (!fits)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<wall_time> uuid_time(std::string_view text)
+{
+    if (!is_uuid(text) || text[version_position] != '7' ||
+        (hex_value(text[variant_position]) & 0xc) != 0x8)
+        return std::nullopt;
+    std::int64_t milliseconds = 0;
+    for (std::size_t i = 0; i < 13; ++i)
+    {
+        if (!is_dash_position(i))
+            milliseconds = milliseconds * 16 + hex_value(text[i]);
+    }
+    return wall_time{std::chrono::milliseconds{milliseconds}};
+}
+
+std::string make_uuid(wall_time now, random_source& random)
+{
+    auto const milliseconds =
+        static_cast<unsigned long long>(now.time_since_epoch().count());
+    unsigned long long const low = random.next();
+    char text[uuid_characters + 1];
+    std::snprintf(
+        text, sizeof text, "%08llx-%04llx-7%03llx-%04llx-%012llx",
+        (milliseconds >> 16) & 0xffffffffULL, milliseconds & 0xffffULL,
+        random.next() & 0xfffULL, 0x8000ULL | (random.next() & 0x3fffULL),
+        low & 0xffffffffffffULL);
+    return text;
+}
+
+} // namespace jackdawhall
--- /dev/null
+++ b/packages/model/jackdawhall/model/verdict.hpp
@@ -0,0 +1,48 @@
+// What became of a request. not_run is given only with proof; a connection
+// that broke after the first byte is may_have_run.
+#pragma once
+
+#include <compare>
+#include <variant>
+
+#include <jackdawhall/model/reason.hpp>
+#include <jackdawhall/model/request.hpp>
+#include <jackdawhall/model/time.hpp>
+
+namespace jackdawhall
+{
+
+// The request did not run and never will.
+struct not_run
+{
+    refusal_reason reason_;
+    duration retry_after_{0}; // 0: a retry makes no sense
+    auto operator<=>(not_run const&) const = default;
+};
+
+// The request may have run, or may still run.
+struct may_have_run
+{
+    doubt_reason reason_;
+    auto operator<=>(may_have_run const&) const = default;
+};
+
+// The request ran, and this is its whole answer.
+struct ran
+{
+    answer answer_;
+    auto operator<=>(ran const&) const = default;
+};
+
+using verdict = std::variant<not_run, may_have_run, ran>;
+
+// Visitor made of lambdas, one for each alternative.
+template <class... Visitors>
+struct overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+template <class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+} // namespace jackdawhall
