--- /dev/null
+++ b/packages/calls/jackdawhall/calls/check_request.cpp
@@ -0,0 +1,145 @@
+// Filters that look at the request alone, or at the run that made it.
+#include <jackdawhall/calls/passage.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+bool is_method(std::string const& method)
+{
+    return !method.empty() && method.size() <= 16 &&
+           std::all_of(
+               method.begin(), method.end(),
+               [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+bool is_printable(std::string const& text)
+{
+    return std::all_of(
+        text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+std::size_t size_of(headers const& fields)
+{
+    std::size_t size = 0;
+    for (header const& field : fields)
+        size += field.name_.size() + field.value_.size();
+    return size;
+}
+
+// The request id of a root, given by its caller if it is usable.
+std::string root_id(entry_call const& c, random_source& random)
+{
+    std::string const given =
+        find_header(c.request_.headers_, request_id_header);
+    if (!given.empty() && given.size() <= 128 && is_printable(given))
+        return given;
+    return random.hex(16);
+}
+
+// Lends a part of the run's retries to one of its calls; the part that is not
+// used comes back with the call's end.
+std::uint32_t lend_retries(gate_run& run)
+{
+    std::uint32_t const lent = (run.retries_left_ + 1) / 2;
+    run.retries_left_ -= lent;
+    return lent;
+}
+
+passage start_root(passage p)
+{
+    p.call_.context_.root_ = root_id(p.call_, p.state_.random_);
+    p.call_.retries_left_ = p.state_.settings_.retries_;
+    return p;
+}
+
+} // namespace
+
+passage bound_request(passage p)
+{
+    request const& r = p.call_.request_;
+    if (p.state_.stopping_ && find_header(r.headers_, ticket_header).empty())
+        return refuse(
+            std::move(p), refusal_reason::stopping, std::chrono::seconds(1));
+    if (p.state_.calls_.size() >= max_calls)
+        return refuse(
+            std::move(p), refusal_reason::overloaded, std::chrono::seconds(1));
+    if (r.body_.size() > max_body_bytes || r.path_.size() > max_path_bytes ||
+        size_of(r.headers_) > max_header_bytes)
+        return refuse(std::move(p), refusal_reason::too_large);
+    if (!is_method(r.method_) || r.path_.empty() || r.path_.front() != '/' ||
+        !is_printable(r.path_))
+        return refuse(std::move(p), refusal_reason::malformed);
+    return p;
+}
+
+passage accept_ticket(passage p)
+{
+    std::string const ticket =
+        find_header(p.call_.request_.headers_, ticket_header);
+    if (ticket.empty())
+        return start_root(std::move(p));
+    auto const known = p.state_.tickets_.find(ticket);
+    if (known == p.state_.tickets_.end())
+        return refuse(std::move(p), refusal_reason::ticket_invalid);
+    gate_run& run = p.state_.runs_.at(known->second);
+    if (p.at_.now_ >= run.deadline_ || run.context_.depth_ >= max_depth)
+        return refuse(std::move(p), refusal_reason::deadline_passed);
+    p.call_.context_ = run.context_;
+    ++p.call_.context_.depth_;
+    p.call_.deadline_ = run.deadline_;
+    p.call_.parent_ = run.number_;
+    p.call_.retries_left_ = lend_retries(run);
+    if (run.calls_in_progress_++ == 0)
+        run.calling_since_ = p.at_.now_;
+    return p;
+}
+
+passage set_deadline(passage p)
+{
+    std::string const text =
+        find_header(p.call_.request_.headers_, deadline_header);
+    if (text.empty())
+        return p;
+    bool const valid =
+        text.size() <= 7 && std::all_of(
+                                text.begin(), text.end(),
+                                [](char c) { return c >= '0' && c <= '9'; });
+    if (!valid)
+        return refuse(std::move(p), refusal_reason::malformed);
+    instant const wanted =
+        p.call_.since_ + std::chrono::milliseconds(std::stol(text));
+    p.call_.deadline_ = std::min(p.call_.deadline_, wanted);
+    if (p.at_.now_ >= p.call_.deadline_)
+        return refuse(std::move(p), refusal_reason::deadline_passed);
+    return p;
+}
+
+passage check_idempotency_key(passage p)
+{
+    entry_call& c = p.call_;
+    std::string const key =
+        find_header(c.request_.headers_, idempotency_header);
+    std::string const identity = c.context_.account_.str() + "|" +
+                                 c.request_.method_ + "|" + c.request_.path_ +
+                                 "|" + key + "|";
+    c.suspect_ =
+        fingerprint(key.empty() ? identity + c.request_.body_ : identity);
+    if (c.context_.repeatable_)
+        return p;
+    if (key.empty())
+        return refuse(std::move(p), refusal_reason::idempotency_key_missing);
+    if (!uuid_time(key))
+        return refuse(std::move(p), refusal_reason::idempotency_key_invalid);
+    std::string const body_hash = fingerprint(
+        c.request_.method_ + "|" + c.request_.path_ + "|" + c.request_.body_);
+    c.claim_ = held_claim{
+        {c.context_.account_, key}, body_hash, p.state_.random_.hex(16), false};
+    return p;
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/configuration.cpp
@@ -0,0 +1,154 @@
+#include <jackdawhall/calls/configuration.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+std::optional<account> as_account(record_body const& body)
+{
+    return std::visit(
+        overloaded{
+            [](account_v1 const& a) -> std::optional<account> {
+                return account{a.milli_rate_, a.burst_};
+            },
+            [](account_v2 const& a) -> std::optional<account> {
+                return account{a.milli_rate_, a.burst_, a.retry_percent_};
+            },
+            [](auto const&) -> std::optional<account> { return std::nullopt; },
+        },
+        body);
+}
+
+// Records are in order of their schema, so that a newer one replaces an older.
+void derive_record(configuration& c, record const& r)
+{
+    if (r.key_.schema_ > c.newest_schema_ ||
+        std::holds_alternative<unknown_record>(r.body_))
+    {
+        ++c.unused_;
+        return;
+    }
+    if (route_v1 const* rule = std::get_if<route_v1>(&r.body_))
+        c.routes_.push_back({r.key_.name_, *rule});
+    std::optional<account> const a = as_account(r.body_);
+    leaf::result<account_name> name = account_name::make(r.key_.name_);
+    if (a && name)
+        c.accounts_.insert_or_assign(name.value(), *a);
+}
+
+void derive(configuration& c)
+{
+    c.routes_.clear();
+    c.accounts_.clear();
+    c.unused_ = 0;
+    for (auto const& held : c.records_)
+        derive_record(c, held.second);
+    std::stable_sort(
+        c.routes_.begin(), c.routes_.end(),
+        [](route const& left, route const& right)
+        {
+            std::string const& l = left.rule_.path_prefix_;
+            std::string const& r = right.rule_.path_prefix_;
+            if (l.size() != r.size())
+                return l.size() > r.size();
+            return !left.rule_.method_.empty() && right.rule_.method_.empty();
+        });
+}
+
+bool covers(route_v1 const& rule, std::string const& path)
+{
+    std::string const& prefix = rule.path_prefix_;
+    if (path.compare(0, prefix.size(), prefix) != 0)
+        return false;
+    return path.size() == prefix.size() || prefix.back() == '/' ||
+           path[prefix.size()] == '/' || path[prefix.size()] == '?';
+}
+
+} // namespace
+
+configuration apply_update(configuration c, configuration_update const& update)
+{
+    if (update.to_ <= c.revision_ ||
+        (!update.whole_ && update.from_ > c.revision_))
+        return c;
+    if (update.whole_)
+        c.records_.clear();
+    for (removal const& gone : update.removals_)
+    {
+        auto const held = c.records_.find(gone.key_);
+        if (held != c.records_.end() && held->second.revision_ < gone.revision_)
+            c.records_.erase(held);
+    }
+    for (record const& r : update.records_)
+        c.records_.insert_or_assign(r.key_, r);
+    c.revision_ = update.to_;
+    derive(c);
+    return c;
+}
+
+configuration take_lease(configuration c, renewal_answer const& answer)
+{
+    if (!answer.confirmed_)
+        return c;
+    duration const length =
+        freshness_lease - freshness_lease / clock_drift_divisor;
+    instant const until =
+        instant{duration{answer.stamp_}} - answer.age_ + length;
+    if (!c.fresh_until_ || *c.fresh_until_ < until)
+        c.fresh_until_ = until;
+    return c;
+}
+
+bool is_fresh(configuration const& c, instant now)
+{
+    return c.fresh_until_ && now < *c.fresh_until_;
+}
+
+route const* find_route(
+    configuration const& c, std::string const& method, std::string const& path)
+{
+    auto const found = std::find_if(
+        c.routes_.begin(), c.routes_.end(),
+        [&](route const& r)
+        {
+            bool const fits =
+                r.rule_.method_.empty() || r.rule_.method_ == method;
+            return fits && covers(r.rule_, path);
+        });
+    return found == c.routes_.end() ? nullptr : &*found;
+}
+
+key_v1 const* find_key(configuration const& c, presented_key const& key)
+{
+    std::string const name = key.account_.str() + "/" + key.key_.str();
+    auto const held = c.records_.find({"key", name, 1});
+    return held == c.records_.end() ? nullptr
+                                    : std::get_if<key_v1>(&held->second.body_);
+}
+
+bool is_service_draining(configuration const& c, service_name const& service)
+{
+    auto const held = c.records_.find({"service", service.str(), 1});
+    if (held == c.records_.end())
+        return false;
+    service_v1 const* s = std::get_if<service_v1>(&held->second.body_);
+    return s && s->draining_;
+}
+
+std::int64_t
+crashes_of(configuration const& c, std::string const& suspect, wall_time wall)
+{
+    auto const held = c.records_.find({"suspect", suspect, 1});
+    if (held == c.records_.end())
+        return 0;
+    suspect_v1 const* s = std::get_if<suspect_v1>(&held->second.body_);
+    if (!s || wall.time_since_epoch().count() >= s->expires_ms_)
+        return 0;
+    return s->crashes_;
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -0,0 +1,446 @@
+// The gate beside a backend server: what it admits, in which order it runs it,
+// and what it tells the entries.
+#include <jackdawhall/calls/passage.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+// Calls queued beyond the limit, as a share of it; and at least so many.
+constexpr std::size_t queue_factor = 1;
+constexpr std::size_t least_queue = 4;
+// A queue with a call older than this is overloaded: newest first.
+constexpr duration queue_target = std::chrono::milliseconds(20);
+constexpr duration threshold_window = std::chrono::milliseconds(100);
+// Time in which the memory of served calls falls to a half.
+constexpr duration served_half_life = std::chrono::seconds(1);
+// What may not be repeated is left running for its outcome past its deadline.
+constexpr duration outcome_wait = std::chrono::seconds(30);
+
+void reply(work& w, gate_run const& run, verdict v, bool shed)
+{
+    forward_answer a;
+    a.number_ = run.forward_;
+    a.verdict_ = std::move(v);
+    a.retries_unused_ = run.retries_left_;
+    a.shed_ = shed;
+    auto const known = w.state_.locals_.find(run.server_id_);
+    if (known != w.state_.locals_.end())
+    {
+        local_server const& server = known->second;
+        a.admitted_ = server.admitted_;
+        a.in_use_ = static_cast<std::uint32_t>(
+            server.running_.size() + server.queued_.size());
+        a.limit_ = static_cast<std::uint32_t>(allowed(server.limiter_));
+    }
+    tell(w, run.entry_, std::move(a));
+}
+
+void forget_run(state& s, gate_run const& run)
+{
+    s.run_due_.erase({run.deadline_, run.number_});
+    s.run_of_forward_.erase({run.entry_, run.forward_});
+    if (!run.ticket_.empty())
+        s.tickets_.erase(run.ticket_);
+    auto const server = s.locals_.find(run.server_id_);
+    if (server != s.locals_.end())
+    {
+        server->second.running_.erase(run.number_);
+        std::erase(server->second.queued_, run.number_);
+    }
+    s.runs_.erase(run.number_);
+}
+
+void refuse_run(work& w, call_number number, refusal_reason reason)
+{
+    gate_run const run = std::move(w.state_.runs_.at(number));
+    forget_run(w.state_, run);
+    reply(w, run, not_run{reason, std::chrono::milliseconds(100)}, false);
+}
+
+gate_run
+make_run(state& s, host_name const& entry, forward const& f, instant now)
+{
+    gate_run run;
+    run.number_ = next_number(s);
+    run.entry_ = entry;
+    run.forward_ = f.number_;
+    run.server_id_ = f.server_id_;
+    run.context_ = f.context_;
+    run.suspect_ = f.suspect_;
+    run.request_ = f.request_;
+    run.since_ = now;
+    run.deadline_ = now + f.context_.timeout_;
+    run.retries_left_ = f.context_.retries_;
+    return run;
+}
+
+// Why a forward cannot even be queued; nothing if it can.
+std::optional<refusal_reason> find_refusal(work const& w, forward const& f)
+{
+    state const& s = w.state_;
+    auto const known = s.locals_.find(f.server_id_);
+    if (known == s.locals_.end() ||
+        known->second.announcement_.service_ != f.service_)
+        return refusal_reason::no_server;
+    local_server const& server = known->second;
+    if (s.stopping_ || server.announcement_.state_ == server_state::draining)
+        return refusal_reason::server_draining;
+    if (crashes_of(s.configuration_, f.suspect_, w.at_.wall_) >=
+        quarantine_crashes)
+        return refusal_reason::quarantined;
+    if (f.context_.timeout_ <= duration{0})
+        return refusal_reason::deadline_passed;
+    if (f.context_.rank_ > server.admitted_)
+        return refusal_reason::shed_at_gate;
+    return std::nullopt;
+}
+
+double served(local_server const& server, account_name const& account)
+{
+    auto const known = server.served_.find(account);
+    return known == server.served_.end() ? 0 : known->second;
+}
+
+void decay_served(local_server& server, instant now)
+{
+    duration const age = now - server.served_as_of_;
+    if (age < served_half_life / 10)
+        return;
+    double const factor = std::exp2(
+        -static_cast<double>(age.count()) /
+        static_cast<double>(served_half_life.count()));
+    for (auto& account : server.served_)
+        account.second *= factor;
+    std::erase_if(
+        server.served_, [](auto const& a) { return a.second < 0.01; });
+    server.served_as_of_ = now;
+}
+
+// Whether `left` runs before `right`: by rank, then the account served less,
+// then by age: oldest first, or newest first under overload.
+bool runs_before(
+    local_server const& server, gate_run const& left, gate_run const& right,
+    bool overloaded)
+{
+    if (left.context_.rank_ != right.context_.rank_)
+        return left.context_.rank_ < right.context_.rank_;
+    double const served_left = served(server, left.context_.account_);
+    double const served_right = served(server, right.context_.account_);
+    if (std::abs(served_left - served_right) >= 1)
+        return served_left < served_right;
+    return overloaded ? left.since_ > right.since_ : left.since_ < right.since_;
+}
+
+bool is_suspect(work const& w, gate_run const& run)
+{
+    return crashes_of(w.state_.configuration_, run.suspect_, w.at_.wall_) > 0;
+}
+
+// Two suspects never run at once, so that a second crash names one of them.
+bool must_wait(work const& w, local_server const& server, gate_run const& run)
+{
+    return is_suspect(w, run) &&
+           std::any_of(
+               server.running_.begin(), server.running_.end(),
+               [&](call_number other)
+               { return is_suspect(w, w.state_.runs_.at(other)); });
+}
+
+bool is_overloaded(work const& w, local_server const& server)
+{
+    return !server.queued_.empty() &&
+           w.at_.now_ - w.state_.runs_.at(server.queued_.front()).since_ >
+               queue_target;
+}
+
+std::optional<call_number>
+next_to_run(work const& w, local_server const& server)
+{
+    std::optional<call_number> best;
+    bool const overloaded = is_overloaded(w, server);
+    for (call_number const number : server.queued_)
+    {
+        gate_run const& run = w.state_.runs_.at(number);
+        if (must_wait(w, server, run))
+            continue;
+        bool const better =
+            !best ||
+            runs_before(server, run, w.state_.runs_.at(*best), overloaded);
+        if (better)
+            best = number;
+    }
+    return best;
+}
+
+void start_run(work& w, local_server& server, call_number number)
+{
+    gate_run& run = w.state_.runs_.at(number);
+    std::erase(server.queued_, number);
+    server.running_.insert(number);
+    server.served_[run.context_.account_] += 1;
+    run.running_ = true;
+    run.started_ = w.at_.now_;
+    run.ticket_ = w.state_.random_.hex(16);
+    w.state_.tickets_.emplace(run.ticket_, number);
+    ++w.state_.counters_.runs_;
+    duration const left = run.deadline_ - w.at_.now_;
+    request sent = std::exchange(run.request_, {});
+    sent.headers_ = without_hop_fields(sent.headers_);
+    std::erase_if(
+        sent.headers_,
+        [](header const& field) { return field.name_ == request_id_header; });
+    sent.headers_.push_back({request_id_header, run.context_.root_});
+    sent.headers_.push_back({ticket_header, run.ticket_});
+    sent.headers_.push_back(
+        {deadline_header, std::to_string(left.count() / 1000)});
+    w.effects_.push_back(run_on_backend{
+        number, run.server_id_, server.announcement_.address_, std::move(sent),
+        run.context_.repeatable_ ? left : left + outcome_wait});
+}
+
+std::size_t longest_queue(local_server const& server)
+{
+    return std::max(least_queue, allowed(server.limiter_) * queue_factor);
+}
+
+// The threshold falls below the rank that was shed, and climbs back by one rank
+// in each window without shedding.
+void lower_threshold(local_server& server, rank shed, instant now)
+{
+    server.shed_ = true;
+    if (now < server.window_ends_)
+        return;
+    rank const below = shed > 0 ? static_cast<rank>(shed - 1) : rank{0};
+    server.admitted_ = std::min(server.admitted_, below);
+    server.window_ends_ = now + threshold_window;
+}
+
+void raise_threshold(local_server& server, instant now)
+{
+    if (now < server.window_ends_)
+        return;
+    if (!server.shed_ && server.admitted_ < lowest_rank)
+        ++server.admitted_;
+    server.shed_ = false;
+    server.window_ends_ = now + threshold_window;
+}
+
+void shed_worst(work& w, std::string const& server_id)
+{
+    local_server& server = w.state_.locals_.at(server_id);
+    while (server.queued_.size() > longest_queue(server))
+    {
+        bool const overloaded = is_overloaded(w, server);
+        auto const worst = std::max_element(
+            server.queued_.begin(), server.queued_.end(),
+            [&](call_number left, call_number right)
+            {
+                return runs_before(
+                    server, w.state_.runs_.at(left), w.state_.runs_.at(right),
+                    overloaded);
+            });
+        call_number const number = *worst;
+        lower_threshold(
+            server, w.state_.runs_.at(number).context_.rank_, w.at_.now_);
+        refuse_run(w, number, refusal_reason::shed_at_gate);
+    }
+}
+
+duration own_latency(gate_run const& run, instant now)
+{
+    duration const called =
+        run.called_ +
+        (run.calls_in_progress_ > 0 ? now - run.calling_since_ : duration{0});
+    return std::max(duration{0}, now - run.started_ - called);
+}
+
+void probe(work& w, local_server& server)
+{
+    if (server.probing_)
+        return;
+    server.probing_ = true;
+    w.effects_.push_back(
+        probe_server{server.announcement_.id_, server.announcement_.address_});
+}
+
+} // namespace
+
+work admit(work w, host_name const& entry, forward const& f)
+{
+    gate_run run = make_run(w.state_, entry, f, w.at_.now_);
+    if (std::optional<refusal_reason> const why = find_refusal(w, f))
+    {
+        reply(w, run, not_run{*why, std::chrono::milliseconds(100)}, false);
+        return w;
+    }
+    state& s = w.state_;
+    s.locals_.at(f.server_id_).queued_.push_back(run.number_);
+    s.run_due_.emplace(run.deadline_, run.number_);
+    s.run_of_forward_.emplace(std::pair{run.entry_, run.forward_}, run.number_);
+    s.runs_.emplace(run.number_, std::move(run));
+    w = start_runs(std::move(w), f.server_id_);
+    shed_worst(w, f.server_id_);
+    return w;
+}
+
+work start_runs(work w, std::string const& server_id)
+{
+    auto const known = w.state_.locals_.find(server_id);
+    if (known == w.state_.locals_.end())
+        return w;
+    local_server& server = known->second;
+    decay_served(server, w.at_.now_);
+    raise_threshold(server, w.at_.now_);
+    while (server.running_.size() < allowed(server.limiter_))
+    {
+        std::optional<call_number> const next = next_to_run(w, server);
+        if (!next)
+            break;
+        if (w.at_.now_ >= w.state_.runs_.at(*next).deadline_)
+            refuse_run(w, *next, refusal_reason::deadline_passed);
+        else
+            start_run(w, server, *next);
+    }
+    return w;
+}
+
+work finish_run(work w, backend_done const& done)
+{
+    state& s = w.state_;
+    auto const known = s.runs_.find(done.run_);
+    if (known == s.runs_.end())
+        return w;
+    gate_run const run = std::move(known->second);
+    auto const server = s.locals_.find(run.server_id_);
+    bool const here = server != s.locals_.end();
+    forget_run(s, run);
+    std::visit(
+        overloaded{
+            [&](answered const& a)
+            {
+                if (here)
+                    server->second.limiter_ = take_latency(
+                        server->second.limiter_, own_latency(run, w.at_.now_),
+                        server->second.running_.size() + 1, w.at_.now_);
+                bool const shed = a.answer_.status_ == 503 && !run.call_failed_;
+                reply(w, run, ran{a.answer_}, shed);
+            },
+            [&](not_connected const& n)
+            {
+                reply(w, run, not_run{refusal_reason::connect_failed}, false);
+                if (here && n.server_failed_)
+                    probe(w, server->second);
+            },
+            [&](broken const& b)
+            {
+                doubt_reason const reason =
+                    run.cancelled_ ? doubt_reason::cancelled : b.reason_;
+                reply(w, run, may_have_run{reason}, false);
+                if (!here || run.cancelled_ ||
+                    b.reason_ != doubt_reason::connection_lost)
+                    return;
+                server->second.broken_.emplace_back(w.at_.now_, run.suspect_);
+                probe(w, server->second);
+            },
+        },
+        done.outcome_);
+    return start_runs(std::move(w), run.server_id_);
+}
+
+work cancel(work w, host_name const& entry, call_number forward)
+{
+    auto const known = w.state_.run_of_forward_.find({entry, forward});
+    if (known == w.state_.run_of_forward_.end())
+        return w;
+    gate_run& run = w.state_.runs_.at(known->second);
+    if (!run.running_)
+    {
+        gate_run const dropped = std::move(run);
+        forget_run(w.state_, dropped);
+    }
+    else if (run.context_.repeatable_ && !run.cancelled_)
+    {
+        run.cancelled_ = true;
+        w.effects_.push_back(cancel_run{run.number_});
+    }
+    return w;
+}
+
+work expire_runs(work w)
+{
+    state& s = w.state_;
+    while (!s.run_due_.empty() && s.run_due_.begin()->first <= w.at_.now_)
+    {
+        call_number const number = s.run_due_.begin()->second;
+        gate_run& run = s.runs_.at(number);
+        if (!run.running_)
+        {
+            refuse_run(w, number, refusal_reason::deadline_passed);
+            continue;
+        }
+        s.run_due_.erase(s.run_due_.begin());
+        if (run.context_.repeatable_ && !run.cancelled_)
+        {
+            run.cancelled_ = true;
+            w.effects_.push_back(cancel_run{number});
+        }
+    }
+    return w;
+}
+
+work drop_server(work w, std::string const& server_id, refusal_reason why)
+{
+    auto const known = w.state_.locals_.find(server_id);
+    if (known == w.state_.locals_.end())
+        return w;
+    std::vector<call_number> const queued = known->second.queued_;
+    for (call_number const number : queued)
+        refuse_run(w, number, why);
+    w.state_.locals_.erase(server_id);
+    w.state_.control_.renewal_due_ = w.at_.now_;
+    return w;
+}
+
+work take_probe(work w, probed const& p)
+{
+    auto const known = w.state_.locals_.find(p.server_id_);
+    if (known == w.state_.locals_.end())
+        return w;
+    local_server& server = known->second;
+    server.probing_ = false;
+    std::set<std::string> lately;
+    for (auto const& [when, suspect] : server.broken_)
+    {
+        if (w.at_.now_ - when <= crash_window)
+            lately.insert(suspect);
+    }
+    server.broken_.clear();
+    if (p.alive_)
+        return w;
+    std::set<std::string> suspects;
+    for (std::string const& suspect : lately)
+    {
+        if (crashes_of(w.state_.configuration_, suspect, w.at_.wall_) > 0)
+            suspects.insert(suspect);
+    }
+    if (suspects.empty())
+        suspects = std::move(lately);
+    w.effects_.push_back(note{"backend server " + p.server_id_ + " is gone"});
+    if (!suspects.empty())
+        tell(
+            w, leader_host(w.state_),
+            crash_report{
+                w.state_.settings_.self_,
+                p.server_id_,
+                {suspects.begin(), suspects.end()}});
+    return drop_server(
+        std::move(w), p.server_id_, refusal_reason::connect_failed);
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/helpers.cpp
@@ -0,0 +1,65 @@
+#include <jackdawhall/calls/passage.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::calls
+{
+
+passage refuse(passage p, refusal_reason reason, duration retry_after)
+{
+    p.flow_ = finished{not_run{reason, retry_after}};
+    return p;
+}
+
+passage doubt(passage p, doubt_reason reason)
+{
+    p.flow_ = finished{may_have_run{reason}};
+    return p;
+}
+
+host_name leader_host(state const& s)
+{
+    if (!s.control_.leader_.empty() || s.settings_.control_hosts_.empty())
+        return s.control_.leader_;
+    return s.settings_.control_hosts_.at(s.control_.current_);
+}
+
+call_number next_number(state& s)
+{
+    ++s.last_number_;
+    if (s.last_number_ == 0)
+        ++s.last_number_; // 0 is no call
+    return s.last_number_;
+}
+
+server_key key_of(backend_server const& server)
+{
+    return {server.host_, server.id_};
+}
+
+namespace
+{
+
+instant due_of(entry_call const& c)
+{
+    return c.wake_ ? std::min(*c.wake_, c.deadline_) : c.deadline_;
+}
+
+} // namespace
+
+void watch(state& s, entry_call const& c)
+{
+    s.call_due_.emplace(due_of(c), c.number_);
+}
+
+void unwatch(state& s, entry_call const& c)
+{
+    s.call_due_.erase({due_of(c), c.number_});
+}
+
+void tell(work& w, host_name const& to, message m)
+{
+    w.effects_.push_back(send{{to, std::move(m)}});
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/join_duplicate.cpp
@@ -0,0 +1,103 @@
+// A resend of a request that is still in progress here joins it and gets the
+// same answer. Otherwise it counts against the retries of its root.
+#include <jackdawhall/calls/passage.hpp>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+// Key under which resends are recognised; empty if there is none.
+std::string duplicate_key(entry_call const& c)
+{
+    headers const& fields = c.request_.headers_;
+    std::string id = find_header(fields, idempotency_header);
+    if (id.empty())
+        id = find_header(fields, request_id_header);
+    if (id.empty() || (c.parent_ && !c.claim_))
+        return {};
+    return c.context_.account_.str() + "|" + c.request_.method_ + "|" +
+           c.request_.path_ + "|" + id + "|" + fingerprint(c.request_.body_);
+}
+
+passage join(passage p, call_number first)
+{
+    state& s = p.state_;
+    entry_call& joined = s.calls_.at(first);
+    for (waiter const& w : p.call_.waiters_)
+    {
+        joined.waiters_.push_back(w);
+        if (http_caller const* caller = std::get_if<http_caller>(&w))
+            s.callers_[caller->number_] = first;
+    }
+    give_back_retries(s, p.call_, false, p.at_.now_);
+    ++s.counters_.joined_;
+    p.call_.number_ = 0;
+    p.flow_ = waiting{};
+    return p;
+}
+
+void drop_old_roots(state& s, instant now)
+{
+    while (!s.roots_order_.empty() && s.roots_order_.front().first <= now)
+    {
+        auto const known = s.roots_.find(s.roots_order_.front().second);
+        if (known != s.roots_.end() && known->second.until_ <= now)
+            s.roots_.erase(known);
+        s.roots_order_.pop_front();
+    }
+}
+
+passage count_resend(passage p)
+{
+    state& s = p.state_;
+    drop_old_roots(s, p.at_.now_);
+    auto const known = s.roots_.find(p.call_.duplicate_);
+    if (known == s.roots_.end())
+        return p;
+    if (known->second.retries_left_ == 0)
+        return refuse(std::move(p), refusal_reason::retries_spent);
+    p.call_.retries_left_ = known->second.retries_left_ - 1;
+    return p;
+}
+
+} // namespace
+
+passage join_duplicate(passage p)
+{
+    entry_call& c = p.call_;
+    state& s = p.state_;
+    if (c.claim_)
+    {
+        auto const recent = s.recent_.find(c.claim_->id_);
+        if (recent != s.recent_.end())
+        {
+            if (recent->second.body_hash_ != c.claim_->body_hash_)
+                return refuse(
+                    std::move(p), refusal_reason::idempotency_key_reused);
+            p.flow_ = finished{recent->second.verdict_};
+            return p;
+        }
+        auto const claimed = s.claims_.find(c.claim_->id_);
+        if (claimed != s.claims_.end() &&
+            s.calls_.at(claimed->second).claim_->body_hash_ !=
+                c.claim_->body_hash_)
+            return refuse(std::move(p), refusal_reason::idempotency_key_reused);
+    }
+    c.duplicate_ = duplicate_key(c);
+    if (c.duplicate_.empty())
+        return p;
+    auto const first = s.duplicates_.find(c.duplicate_);
+    if (first != s.duplicates_.end())
+        return join(std::move(p), first->second);
+    if (!c.parent_)
+        p = count_resend(std::move(p));
+    if (std::holds_alternative<going>(p.flow_))
+        p.state_.duplicates_.emplace(p.call_.duplicate_, p.call_.number_);
+    else
+        p.call_.duplicate_.clear();
+    return p;
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -0,0 +1,164 @@
+// What an entry learns from answers, and whether it tries again.
+#include <jackdawhall/calls/passage.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+constexpr std::uint32_t failures_to_set_aside = 3;
+constexpr duration first_set_aside = std::chrono::seconds(1);
+constexpr std::uint32_t most_set_asides = 5; // then the time stays the same
+// Retry credits of an account at one daemon.
+constexpr double most_credits = 10;
+
+void succeed(evidence& e, duration latency)
+{
+    e.failures_ = 0;
+    e.set_asides_ = 0;
+    e.latency_ =
+        e.latency_ == duration{0} ? latency : (e.latency_ * 7 + latency) / 8;
+}
+
+void fail(evidence& e, instant now)
+{
+    if (++e.failures_ < failures_to_set_aside)
+        return;
+    e.set_aside_until_ = now + first_set_aside * (1 << e.set_asides_);
+    e.set_asides_ = std::min(e.set_asides_ + 1, most_set_asides);
+    e.failures_ = 0;
+}
+
+bool blames_server(doubt_reason reason)
+{
+    return reason != doubt_reason::cancelled &&
+           reason != doubt_reason::already_claimed;
+}
+
+bool is_refusal_to_retry(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::shed_at_gate:
+    case refusal_reason::server_draining:
+    case refusal_reason::no_server:
+    case refusal_reason::stopping:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool is_loss_to_retry(doubt_reason reason)
+{
+    return reason == doubt_reason::connection_lost ||
+           reason == doubt_reason::peer_lost ||
+           reason == doubt_reason::answer_incomplete;
+}
+
+std::optional<retry_reason>
+reason_to_retry(entry_call const& c, verdict const& v, bool shed)
+{
+    using reason = std::optional<retry_reason>;
+    bool const repeatable = c.context_.repeatable_;
+    return std::visit(
+        overloaded{
+            [](not_run const& r) -> reason
+            {
+                if (r.reason_ == refusal_reason::connect_failed)
+                    return retry_reason::connect_failed;
+                if (is_refusal_to_retry(r.reason_))
+                    return retry_reason::refused_by_gate;
+                return std::nullopt;
+            },
+            [&](may_have_run const& r) -> reason
+            {
+                if (repeatable && is_loss_to_retry(r.reason_))
+                    return retry_reason::repeatable_lost;
+                return std::nullopt;
+            },
+            [&](ran const&) -> reason
+            {
+                if (repeatable && shed)
+                    return retry_reason::repeatable_failed;
+                return std::nullopt;
+            },
+        },
+        v);
+}
+
+duration usual_latency(state const& s, entry_call const& c)
+{
+    if (c.tried_.empty())
+        return duration{0};
+    auto const known = s.evidence_.find(c.tried_.back());
+    return known == s.evidence_.end() ? duration{0} : known->second.latency_;
+}
+
+// Each first try earns the account a part of a retry.
+double credits_of(state const& s, account_name const& account)
+{
+    auto const known = s.retry_credits_.find(account);
+    return known == s.retry_credits_.end() ? most_credits : known->second;
+}
+
+} // namespace
+
+state learn(state s, forwarded const& f, forward_answer const& a, instant now)
+{
+    evidence& e = s.evidence_[key_of(f.server_)];
+    e.in_flight_ -= e.in_flight_ > 0 ? 1 : 0;
+    if (a.limit_ != 0)
+    {
+        e.in_use_ = a.in_use_;
+        e.limit_ = a.limit_;
+        e.admitted_ = a.admitted_;
+        e.admitted_until_ = now + threshold_lifetime;
+    }
+    std::visit(
+        overloaded{
+            [&](not_run const& r)
+            {
+                if (r.reason_ == refusal_reason::connect_failed)
+                    fail(e, now);
+            },
+            [&](may_have_run const& r)
+            {
+                if (blames_server(r.reason_))
+                    fail(e, now);
+            },
+            [&](ran const&) { succeed(e, now - f.since_); },
+        },
+        a.verdict_);
+    return s;
+}
+
+std::optional<retry_reason> decide_retry(
+    state const& s, entry_call const& c, verdict const& v, bool shed,
+    instant now)
+{
+    std::optional<retry_reason> const why = reason_to_retry(c, v, shed);
+    if (!why || c.retries_left_ == 0 || c.waiters_.empty())
+        return std::nullopt;
+    if (credits_of(s, c.context_.account_) < 1)
+        return std::nullopt;
+    if (now + usual_latency(s, c) >= c.deadline_)
+        return std::nullopt;
+    return why;
+}
+
+void earn_credit(state& s, account_name const& account)
+{
+    auto const known = s.configuration_.accounts_.find(account);
+    double const percent =
+        known == s.configuration_.accounts_.end()
+            ? 10.0
+            : static_cast<double>(known->second.retry_percent_);
+    double const credits = credits_of(s, account) + percent / 100;
+    s.retry_credits_.insert_or_assign(account, std::min(most_credits, credits));
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/take_claim.cpp
@@ -0,0 +1,144 @@
+// At most once. A request that may not be repeated is run only under a claim
+// that the ledger of the control hosts granted to this very run of it. A claim
+// is granted once; it is given back only when the request is proven not to have
+// run. So a resend, wherever it enters, never runs a second time.
+#include <jackdawhall/calls/passage.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+void send_claim(state const& s, effects& out, held_claim const& c)
+{
+    out.push_back(send{
+        {leader_host(s),
+         claim_request{c.id_, c.body_hash_, c.run_, s.settings_.self_}}});
+}
+
+// The claim stands for another run. Its holder may know what became of it.
+work ask_holder(work w, call_number number, host_name const& holder)
+{
+    entry_call& c = w.state_.calls_.at(number);
+    if (holder == w.state_.settings_.self_)
+    {
+        entry_call held = std::move(c);
+        unwatch(w.state_, held);
+        w.state_.calls_.erase(number);
+        return finish_call(
+            std::move(w), std::move(held),
+            may_have_run{doubt_reason::already_claimed});
+    }
+    unwatch(w.state_, c);
+    c.wake_.reset();
+    c.asked_outcome_ = next_number(w.state_);
+    watch(w.state_, c);
+    tell(w, holder, outcome_request{*c.asked_outcome_, c.claim_->id_});
+    return w;
+}
+
+work end_call(work w, call_number number, verdict v)
+{
+    entry_call c = std::move(w.state_.calls_.at(number));
+    unwatch(w.state_, c);
+    w.state_.calls_.erase(number);
+    return finish_call(std::move(w), std::move(c), std::move(v));
+}
+
+work take_result(work w, call_number number, claim_response const& r)
+{
+    switch (r.result_)
+    {
+    case claim_result::granted:
+        w.state_.calls_.at(number).claim_->granted_ = true;
+        return resume(std::move(w), number);
+    case claim_result::held:
+        return ask_holder(std::move(w), number, r.holder_);
+    case claim_result::mismatched:
+        return end_call(
+            std::move(w), number,
+            not_run{refusal_reason::idempotency_key_reused});
+    case claim_result::expired:
+        return end_call(
+            std::move(w), number,
+            may_have_run{doubt_reason::idempotency_key_expired});
+    case claim_result::too_new:
+        return end_call(
+            std::move(w), number,
+            not_run{refusal_reason::idempotency_key_too_new});
+    case claim_result::unavailable:
+        break; // asked again when the call wakes
+    }
+    return w;
+}
+
+} // namespace
+
+passage take_claim(passage p)
+{
+    entry_call& c = p.call_;
+    if (!c.claim_ || c.claim_->granted_)
+        return p;
+    if (c.asked_outcome_)
+    {
+        p.flow_ = waiting{};
+        return p;
+    }
+    p.state_.claims_.insert_or_assign(c.claim_->id_, c.number_);
+    send_claim(p.state_, p.effects_, *c.claim_);
+    c.wake_ = p.at_.now_ + control_resend;
+    p.flow_ = waiting{};
+    return p;
+}
+
+work take_claim_response(work w, claim_response const& r)
+{
+    auto const claimed = w.state_.claims_.find(r.id_);
+    bool const waits =
+        claimed != w.state_.claims_.end() &&
+        w.state_.calls_.at(claimed->second).claim_->run_ == r.run_;
+    if (!waits)
+        return w; // its call has ended, and finish_call settled the claim
+    entry_call const& c = w.state_.calls_.at(claimed->second);
+    if (c.claim_->granted_ || c.asked_outcome_)
+        return w; // answer to a resend of the claim
+    return take_result(std::move(w), claimed->second, r);
+}
+
+work resend_claims(work w)
+{
+    if (w.state_.releases_.empty() || w.at_.now_ < w.state_.releases_due_)
+        return w;
+    w.state_.releases_due_ = w.at_.now_ + control_resend;
+    for (auto const& held : w.state_.releases_)
+        w.effects_.push_back(send{
+            {leader_host(w.state_),
+             claim_release{
+                 held.first, held.second.run_, w.state_.settings_.self_}}});
+    return w;
+}
+
+work answer_outcome(work w, outcome_request const& r, host_name const& from)
+{
+    state& s = w.state_;
+    auto const running = s.claims_.find(r.id_);
+    if (running != s.claims_.end())
+    {
+        s.calls_.at(running->second)
+            .waiters_.push_back(asking_host{from, r.number_});
+        return w;
+    }
+    verdict v = may_have_run{doubt_reason::already_claimed};
+    auto const recent = s.recent_.find(r.id_);
+    if (recent != s.recent_.end())
+        v = recent->second.verdict_;
+    else if (s.releases_.contains(r.id_))
+        v = not_run{refusal_reason::cancelled, control_resend};
+    tell(w, from, outcome_response{r.number_, std::move(v)});
+    return w;
+}
+
+} // namespace jackdawhall::calls
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -0,0 +1,274 @@
+// Rate tokens at a daemon. Tokens come in grants from the leader of the control
+// hosts. An account with steady traffic here gets them ahead of demand; one
+// with thin traffic asks for each call, so that its tokens never lie idle at
+// another host. Unspent tokens go back soon.
+#include <jackdawhall/calls/passage.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::calls
+{
+
+namespace
+{
+
+// An account with a smaller burst reports each token as it is spent, since
+// every unreported one occupies its bucket.
+constexpr std::int64_t small_burst = 256;
+// Fewer calls in a prefetch window than this are not prefetched for.
+constexpr std::int64_t least_prefetched = 4;
+
+void drop_ended_grants(holding& h, instant now)
+{
+    std::erase_if(
+        h.grants_, [&](held_grant const& g) { return now >= g.ends_; });
+}
+
+std::int64_t tokens_left(holding const& h)
+{
+    std::int64_t left = 0;
+    for (held_grant const& g : h.grants_)
+        left += g.remaining_;
+    return left;
+}
+
+void count_demand(holding& h, instant now)
+{
+    if (now >= h.window_ends_)
+    {
+        bool const idle = now >= h.window_ends_ + token_prefetch;
+        h.last_window_calls_ = idle ? 0 : h.window_calls_;
+        h.window_calls_ = 0;
+        h.window_ends_ = now + token_prefetch;
+    }
+    ++h.window_calls_;
+    h.last_call_ = now;
+}
+
+std::int64_t demand(holding const& h)
+{
+    std::int64_t const calls = std::max(h.window_calls_, h.last_window_calls_);
+    return calls < least_prefetched ? 0 : calls;
+}
+
+std::vector<grant_report> take_reports(holding& h, bool close)
+{
+    std::vector<grant_report> reports;
+    for (held_grant& g : h.grants_)
+    {
+        if (!g.changed_ && !close)
+            continue;
+        bool const ends = close || g.remaining_ == 0;
+        reports.push_back({g.grant_, g.remaining_, ends});
+        g.changed_ = false;
+    }
+    std::erase_if(
+        h.grants_,
+        [&](held_grant const& g) { return close || g.remaining_ == 0; });
+    return reports;
+}
+
+void ask(work& w, account_name const& account, holding& h, bool report_only)
+{
+    state& s = w.state_;
+    grant_request r;
+    r.host_ = s.settings_.self_;
+    r.incarnation_ = s.incarnation_;
+    r.account_ = account;
+    r.reports_ = take_reports(h, false);
+    if (!report_only)
+    {
+        r.number_ = next_number(s);
+        r.waiting_ = static_cast<std::int64_t>(h.waiting_.size());
+        r.wanted_ = std::max<std::int64_t>(0, demand(h) - tokens_left(h));
+        h.asked_ = r.number_;
+        h.asked_at_ = w.at_.now_;
+        h.ask_again_ = w.at_.now_ + control_resend;
+    }
+    if (!report_only || !r.reports_.empty())
+        tell(w, leader_host(s), std::move(r));
+}
+
+bool asked_lately(holding const& h, instant now)
+{
+    return h.asked_ != 0 && now - h.asked_at_ < control_resend;
+}
+
+bool is_small(state const& s, account_name const& account)
+{
+    auto const a = s.configuration_.accounts_.find(account);
+    return a != s.configuration_.accounts_.end() &&
+           a->second.burst_ < small_burst;
+}
+
+// How long a call may wait for a token, from its start.
+duration longest_wait(holding const& h)
+{
+    return h.exhausted_ ? token_wait : allocator_wait;
+}
+
+passage wait_for_token(passage p, holding& h)
+{
+    entry_call const& c = p.call_;
+    instant const now = p.at_.now_;
+    bool const waits =
+        std::find(h.waiting_.begin(), h.waiting_.end(), c.number_) !=
+        h.waiting_.end();
+    instant const until = c.since_ + longest_wait(h);
+    if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
+    {
+        refusal_reason const why = h.exhausted_
+                                       ? refusal_reason::rate_exceeded
+                                       : refusal_reason::rate_unavailable;
+        return refuse(std::move(p), why, std::chrono::seconds(1));
+    }
+    if (!waits)
+        h.waiting_.push_back(c.number_);
+    p.call_.wake_ = std::min(until, now + token_wait);
+    p.flow_ = waiting{};
+    return p;
+}
+
+void refuse_waiting(work& w, account_name const& account, duration retry_after)
+{
+    std::deque<call_number> const late =
+        std::exchange(w.state_.holdings_.at(account).waiting_, {});
+    for (call_number const number : late)
+    {
+        auto const held = w.state_.calls_.find(number);
+        if (held == w.state_.calls_.end())
+            continue;
+        entry_call c = std::move(held->second);
+        unwatch(w.state_, c);
+        w.state_.calls_.erase(held);
+        w = finish_call(
+            std::move(w), std::move(c),
+            not_run{refusal_reason::rate_exceeded, retry_after});
+    }
+}
+
+void resume_waiting(work& w, account_name const& account)
+{
+    std::deque<call_number> const served =
+        std::exchange(w.state_.holdings_.at(account).waiting_, {});
+    for (call_number const number : served)
+        w = resume(std::move(w), number);
+}
+
+} // namespace
+
+bool spend_token(work& w, account_name const& account)
+{
+    holding& h = w.state_.holdings_[account];
+    drop_ended_grants(h, w.at_.now_);
+    auto const first = std::min_element(
+        h.grants_.begin(), h.grants_.end(),
+        [](held_grant const& left, held_grant const& right)
+        { return left.ends_ < right.ends_; });
+    if (first == h.grants_.end() || first->remaining_ == 0)
+        return false;
+    --first->remaining_;
+    first->changed_ = true;
+    std::int64_t const left = tokens_left(h);
+    if (left * 2 < demand(h) && !asked_lately(h, w.at_.now_) &&
+        w.at_.now_ >= h.ask_again_)
+        ask(w, account, h, false);
+    else if (is_small(w.state_, account) || first->remaining_ == 0)
+        ask(w, account, h, true);
+    return true;
+}
+
+passage take_token(passage p)
+{
+    account_name const account = p.call_.context_.account_;
+    if (p.call_.parent_ || account.empty())
+        return p;
+    work w{std::move(p.state_), std::move(p.effects_), p.at_};
+    holding& h = w.state_.holdings_[account];
+    bool const first_time = !p.call_.wake_ && p.call_.attempts_ == 0;
+    if (first_time)
+        count_demand(h, w.at_.now_);
+    bool const others_first =
+        !h.waiting_.empty() &&
+        std::find(h.waiting_.begin(), h.waiting_.end(), p.call_.number_) ==
+            h.waiting_.end();
+    bool const spent = !others_first && spend_token(w, account);
+    if (spent)
+    {
+        std::erase(w.state_.holdings_[account].waiting_, p.call_.number_);
+    }
+    else
+    {
+        holding& held = w.state_.holdings_[account];
+        p = wait_for_token(std::move(p), held);
+        bool const waits = std::holds_alternative<waiting>(p.flow_);
+        if (waits && !asked_lately(held, w.at_.now_) &&
+            w.at_.now_ >= held.ask_again_)
+            ask(w, account, held, false);
+    }
+    p.state_ = std::move(w.state_);
+    p.effects_ = std::move(w.effects_);
+    return p;
+}
+
+work take_grant(work w, grant_response const& r)
+{
+    auto const known = w.state_.holdings_.find(r.account_);
+    if (known == w.state_.holdings_.end() ||
+        r.incarnation_ != w.state_.incarnation_ ||
+        known->second.asked_ != r.number_)
+        return w;
+    holding& h = known->second;
+    h.asked_ = 0;
+    h.exhausted_ = r.result_ == grant_result::exhausted;
+    if (r.result_ == grant_result::granted)
+    {
+        duration const length = r.length_ - r.length_ / clock_drift_divisor;
+        h.grants_.push_back({r.grant_, r.tokens_, h.asked_at_ + length, false});
+        h.ask_again_ = w.at_.now_;
+        resume_waiting(w, r.account_);
+        return w;
+    }
+    if (h.exhausted_ && r.retry_after_ > token_wait)
+    {
+        h.ask_again_ = w.at_.now_ + token_wait;
+        refuse_waiting(w, r.account_, r.retry_after_);
+        return w;
+    }
+    h.ask_again_ =
+        w.at_.now_ + (h.exhausted_ ? r.retry_after_ : control_resend);
+    return w;
+}
+
+work tend_tokens(work w)
+{
+    instant const now = w.at_.now_;
+    for (auto& [account, h] : w.state_.holdings_)
+    {
+        drop_ended_grants(h, now);
+        bool const idle = now - h.last_call_ >= idle_token_lifetime;
+        if (idle && !h.grants_.empty())
+        {
+            grant_request r;
+            r.host_ = w.state_.settings_.self_;
+            r.incarnation_ = w.state_.incarnation_;
+            r.account_ = account;
+            r.reports_ = take_reports(h, true);
+            tell(w, leader_host(w.state_), std::move(r));
+        }
+        bool const asks = !h.waiting_.empty() && now >= h.ask_again_;
+        if (asks)
+            ask(w, account, h, false);
+    }
+    std::erase_if(
+        w.state_.holdings_,
+        [&](auto const& held)
+        {
+            holding const& h = held.second;
+            return h.grants_.empty() && h.waiting_.empty() &&
+                   now - h.last_call_ > std::chrono::seconds(10);
+        });
+    return w;
+}
+
+} // namespace jackdawhall::calls
