--- /dev/null
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -0,0 +1,200 @@
+// The fields of each value, in the order of their numbers on the wire. Append
+// only: an old program must find the old fields under their old numbers.
+// Not for users of the package.
+#pragma once
+
+#include <tuple>
+
+#include <jackdawhall/control.hpp>
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::wire
+{
+
+// Lists the members of a value type once, for writing and for reading.
+#define JACKDAWHALL_FIELDS(type, ...)                                          \
+    inline auto fields_of(type const& v)                                       \
+    {                                                                          \
+        return std::apply(                                                     \
+            [&](auto... member) { return std::tie((v.*member)...); },          \
+            std::tuple{__VA_ARGS__});                                          \
+    }                                                                          \
+    inline auto fields_of(type& v)                                             \
+    {                                                                          \
+        return std::apply(                                                     \
+            [&](auto... member) { return std::tie((v.*member)...); },          \
+            std::tuple{__VA_ARGS__});                                          \
+    }
+
+JACKDAWHALL_FIELDS(voter, &voter::host_, &voter::disk_)
+JACKDAWHALL_FIELDS(claim_id, &claim_id::account_, &claim_id::key_)
+JACKDAWHALL_FIELDS(
+    record_key, &record_key::kind_, &record_key::name_, &record_key::schema_)
+JACKDAWHALL_FIELDS(removal, &removal::key_, &removal::revision_)
+JACKDAWHALL_FIELDS(account_v1, &account_v1::milli_rate_, &account_v1::burst_)
+JACKDAWHALL_FIELDS(
+    account_v2, &account_v2::milli_rate_, &account_v2::burst_,
+    &account_v2::retry_percent_)
+JACKDAWHALL_FIELDS(
+    key_v1, &key_v1::account_, &key_v1::salt_, &key_v1::hash_,
+    &key_v1::withdrawn_)
+JACKDAWHALL_FIELDS(
+    route_v1, &route_v1::method_, &route_v1::path_prefix_, &route_v1::service_,
+    &route_v1::rank_, &route_v1::open_, &route_v1::repeatable_,
+    &route_v1::timeout_ms_)
+JACKDAWHALL_FIELDS(service_v1, &service_v1::draining_)
+JACKDAWHALL_FIELDS(suspect_v1, &suspect_v1::crashes_, &suspect_v1::expires_ms_)
+JACKDAWHALL_FIELDS(
+    change, &change::operation_id_, &change::author_, &change::edits_)
+JACKDAWHALL_FIELDS(accepted, &accepted::revision_)
+JACKDAWHALL_FIELDS(conflict, &conflict::key_, &conflict::actual_)
+JACKDAWHALL_FIELDS(rejected, &rejected::what_, &rejected::mend_)
+JACKDAWHALL_FIELDS(unknown_outcome, &unknown_outcome::what_)
+JACKDAWHALL_FIELDS(
+    past_change, &past_change::revision_, &past_change::when_,
+    &past_change::author_, &past_change::summary_)
+JACKDAWHALL_FIELDS(
+    past_operation, &past_operation::operation_id_, &past_operation::outcome_)
+
+inline std::tuple<> fields_of(no_op const&)
+{
+    return {};
+}
+JACKDAWHALL_FIELDS(
+    change_command, &change_command::change_, &change_command::when_)
+JACKDAWHALL_FIELDS(
+    claim_command, &claim_command::id_, &claim_command::body_hash_,
+    &claim_command::run_, &claim_command::holder_, &claim_command::when_)
+JACKDAWHALL_FIELDS(
+    release_command, &release_command::id_, &release_command::run_,
+    &release_command::holder_)
+JACKDAWHALL_FIELDS(
+    voters_command, &voters_command::voters_, &voters_command::when_)
+JACKDAWHALL_FIELDS(
+    log_entry, &log_entry::index_, &log_entry::term_, &log_entry::command_)
+JACKDAWHALL_FIELDS(
+    claim, &claim::id_, &claim::body_hash_, &claim::run_, &claim::holder_)
+JACKDAWHALL_FIELDS(
+    snapshot, &snapshot::last_index_, &snapshot::last_term_, &snapshot::voters_,
+    &snapshot::revision_, &snapshot::oldest_removal_, &snapshot::records_,
+    &snapshot::removals_, &snapshot::operations_, &snapshot::history_,
+    &snapshot::claims_, &snapshot::claims_horizon_)
+JACKDAWHALL_FIELDS(
+    control::hard_state, &control::hard_state::term_,
+    &control::hard_state::voted_for_)
+
+JACKDAWHALL_FIELDS(
+    vote_request, &vote_request::term_, &vote_request::candidate_,
+    &vote_request::asked_, &vote_request::last_index_,
+    &vote_request::last_term_, &vote_request::trial_)
+JACKDAWHALL_FIELDS(
+    vote_response, &vote_response::term_, &vote_response::voter_,
+    &vote_response::trial_, &vote_response::granted_)
+JACKDAWHALL_FIELDS(
+    append_request, &append_request::term_, &append_request::leader_,
+    &append_request::previous_index_, &append_request::previous_term_,
+    &append_request::entries_, &append_request::commit_,
+    &append_request::round_, &append_request::echo_,
+    &append_request::echo_incarnation_, &append_request::majority_age_,
+    &append_request::commit_is_own_)
+JACKDAWHALL_FIELDS(
+    append_response, &append_response::term_, &append_response::voter_,
+    &append_response::success_, &append_response::match_,
+    &append_response::round_, &append_response::stamp_,
+    &append_response::incarnation_)
+JACKDAWHALL_FIELDS(
+    install_snapshot, &install_snapshot::term_, &install_snapshot::leader_,
+    &install_snapshot::snapshot_, &install_snapshot::round_)
+JACKDAWHALL_FIELDS(join_request, &join_request::voter_, &join_request::blank_)
+
+JACKDAWHALL_FIELDS(
+    configuration_update, &configuration_update::from_,
+    &configuration_update::to_, &configuration_update::whole_,
+    &configuration_update::records_, &configuration_update::removals_)
+JACKDAWHALL_FIELDS(location, &location::region_, &location::zone_)
+JACKDAWHALL_FIELDS(endpoint, &endpoint::address_, &endpoint::port_)
+JACKDAWHALL_FIELDS(
+    backend_server, &backend_server::host_, &backend_server::location_,
+    &backend_server::gate_, &backend_server::service_, &backend_server::id_,
+    &backend_server::slots_, &backend_server::connections_,
+    &backend_server::state_)
+JACKDAWHALL_FIELDS(
+    renewal, &renewal::host_, &renewal::incarnation_, &renewal::stamp_,
+    &renewal::have_, &renewal::newest_schema_, &renewal::location_,
+    &renewal::servers_, &renewal::wanted_, &renewal::membership_version_)
+JACKDAWHALL_FIELDS(
+    service_servers, &service_servers::service_, &service_servers::servers_)
+JACKDAWHALL_FIELDS(
+    renewal_answer, &renewal_answer::incarnation_, &renewal_answer::stamp_,
+    &renewal_answer::age_, &renewal_answer::confirmed_,
+    &renewal_answer::update_, &renewal_answer::leader_,
+    &renewal_answer::membership_version_, &renewal_answer::services_)
+JACKDAWHALL_FIELDS(
+    membership_report, &membership_report::origin_,
+    &membership_report::incarnation_, &membership_report::from_version_,
+    &membership_report::to_version_, &membership_report::present_,
+    &membership_report::gone_)
+JACKDAWHALL_FIELDS(membership_wanted, &membership_wanted::asker_)
+
+JACKDAWHALL_FIELDS(
+    grant_report, &grant_report::grant_, &grant_report::remaining_,
+    &grant_report::closed_)
+JACKDAWHALL_FIELDS(
+    grant_request, &grant_request::host_, &grant_request::incarnation_,
+    &grant_request::account_, &grant_request::number_, &grant_request::waiting_,
+    &grant_request::wanted_, &grant_request::reports_)
+JACKDAWHALL_FIELDS(
+    grant_response, &grant_response::incarnation_, &grant_response::account_,
+    &grant_response::number_, &grant_response::result_, &grant_response::grant_,
+    &grant_response::tokens_, &grant_response::length_,
+    &grant_response::retry_after_)
+
+JACKDAWHALL_FIELDS(
+    claim_request, &claim_request::id_, &claim_request::body_hash_,
+    &claim_request::run_, &claim_request::holder_)
+JACKDAWHALL_FIELDS(
+    claim_response, &claim_response::id_, &claim_response::run_,
+    &claim_response::result_, &claim_response::holder_, &claim_response::asker_)
+JACKDAWHALL_FIELDS(
+    claim_release, &claim_release::id_, &claim_release::run_,
+    &claim_release::holder_)
+JACKDAWHALL_FIELDS(
+    claim_released, &claim_released::id_, &claim_released::run_,
+    &claim_released::holder_)
+JACKDAWHALL_FIELDS(
+    outcome_request, &outcome_request::number_, &outcome_request::id_)
+JACKDAWHALL_FIELDS(
+    outcome_response, &outcome_response::number_, &outcome_response::verdict_)
+JACKDAWHALL_FIELDS(
+    change_request, &change_request::number_, &change_request::asker_,
+    &change_request::change_)
+JACKDAWHALL_FIELDS(
+    change_response, &change_response::number_, &change_response::outcome_)
+
+JACKDAWHALL_FIELDS(header, &header::name_, &header::value_)
+JACKDAWHALL_FIELDS(
+    request, &request::method_, &request::path_, &request::headers_,
+    &request::body_)
+JACKDAWHALL_FIELDS(answer, &answer::status_, &answer::headers_, &answer::body_)
+JACKDAWHALL_FIELDS(not_run, &not_run::reason_, &not_run::retry_after_)
+JACKDAWHALL_FIELDS(may_have_run, &may_have_run::reason_)
+JACKDAWHALL_FIELDS(ran, &ran::answer_)
+JACKDAWHALL_FIELDS(
+    call_context, &call_context::root_, &call_context::account_,
+    &call_context::rank_, &call_context::timeout_, &call_context::retries_,
+    &call_context::depth_, &call_context::repeatable_)
+JACKDAWHALL_FIELDS(
+    forward, &forward::number_, &forward::service_, &forward::server_id_,
+    &forward::context_, &forward::suspect_, &forward::request_)
+JACKDAWHALL_FIELDS(
+    forward_answer, &forward_answer::number_, &forward_answer::verdict_,
+    &forward_answer::retries_unused_, &forward_answer::admitted_,
+    &forward_answer::in_use_, &forward_answer::limit_, &forward_answer::shed_)
+JACKDAWHALL_FIELDS(cancel_forward, &cancel_forward::number_)
+JACKDAWHALL_FIELDS(
+    crash_report, &crash_report::host_, &crash_report::server_id_,
+    &crash_report::suspects_)
+
+#undef JACKDAWHALL_FIELDS
+
+} // namespace jackdawhall::wire
