--- /dev/null
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -0,0 +1,461 @@
+#include <jackdawhall/daemon/daemon.hpp>
+
+#include <cstdlib>
+
+namespace jackdawhall::daemon
+{
+
+namespace
+{
+
+calls::settings call_settings(settings::daemon_settings const& s)
+{
+    calls::settings made;
+    made.self_ = s.host_;
+    made.location_ = s.location_;
+    made.gate_ = s.peers_;
+    for (settings::control_host const& host : s.control_hosts_)
+        made.control_hosts_.push_back(host.host_);
+    made.newest_schema_ = s.newest_schema_;
+    made.retries_ = s.retries_;
+    return made;
+}
+
+control::consensus_settings
+consensus_settings(settings::daemon_settings const& s)
+{
+    control::consensus_settings made;
+    made.self_ = s.host_;
+    for (settings::control_host const& host : s.control_hosts_)
+        made.control_hosts_.push_back(host.host_);
+    std::sort(made.control_hosts_.begin(), made.control_hosts_.end());
+    return made;
+}
+
+// Number of a forward, by which a lost link tells what it may have carried.
+std::uint64_t tag_of(message const& m)
+{
+    forward const* f = std::get_if<forward>(&m);
+    return f ? f->number_ : 0;
+}
+
+// Messages for the control node; the others are for the call node.
+bool is_for_control(message const& m)
+{
+    return std::visit(
+        overloaded{
+            [](renewal_answer const&) { return false; },
+            [](configuration_update const&) { return false; },
+            [](grant_response const&) { return false; },
+            [](claim_response const&) { return false; },
+            [](claim_released const&) { return false; },
+            [](outcome_request const&) { return false; },
+            [](outcome_response const&) { return false; },
+            [](forward const&) { return false; },
+            [](forward_answer const&) { return false; },
+            [](cancel_forward const&) { return false; },
+            [](auto const&) { return true; },
+        },
+        m);
+}
+
+// What must not leave before the stores before it are synced: a vote, an
+// acknowledgement, and whatever rests on this host's term.
+bool waits_for_disk(control::effect const& e)
+{
+    send const* s = std::get_if<send>(&e);
+    if (!s)
+        return false;
+    return std::visit(
+        overloaded{
+            [](vote_request const&) { return true; },
+            [](vote_response const&) { return true; },
+            [](append_request const&) { return true; },
+            [](append_response const&) { return true; },
+            [](install_snapshot const&) { return true; },
+            [](auto const&) { return false; },
+        },
+        s->outgoing_.message_);
+}
+
+} // namespace
+
+daemon::daemon(settings::daemon_settings s)
+    : settings_(std::move(s)),
+      calls_(calls::make_state(
+          call_settings(settings_), random_source::unpredictable(),
+          loop::read_clocks().now_))
+{
+}
+
+leaf::result<void> daemon::start()
+{
+    loop::peer_handlers peers;
+    peers.received_ = [this](host_name const& from, std::string bytes)
+    { receive_bytes(from, bytes); };
+    peers.lost_ = [this](host_name const& host, std::uint64_t newest) {
+        give(calls::input{calls::peer_lost{host, newest}});
+    };
+    peers.undelivered_ = [this](host_name const& to, std::string bytes)
+    {
+        leaf::result<message> m = wire::decode_message(bytes);
+        if (m)
+            give(calls::input{calls::undelivered{{to, std::move(m.value())}}});
+    };
+    peers.note_ = [](std::string text)
+    { log(severity::info, part::peers, text); };
+    links_ = std::make_unique<loop::peer_links>(
+        settings_.host_, settings_.peers_, settings_.fleet_secret_, peers);
+    for (settings::control_host const& host : settings_.control_hosts_)
+        links_->set_address(host.host_, host.peers_);
+    BOOST_LEAF_CHECK(links_->listen());
+
+    backends_ = std::make_unique<loop::backend_client>(loop::backend_handlers{
+        [this](std::uint64_t run, loop::backend_result result)
+        {
+            calls::backend_outcome outcome = std::visit(
+                overloaded{
+                    [](loop::backend_answered& a) -> calls::backend_outcome
+                    { return calls::answered{std::move(a.answer_)}; },
+                    [](loop::backend_not_connected& n) -> calls::backend_outcome
+                    { return calls::not_connected{n.server_failed_}; },
+                    [](loop::backend_broken& b) -> calls::backend_outcome
+                    { return calls::broken{b.reason_}; },
+                },
+                result);
+            give(calls::input{calls::backend_done{run, std::move(outcome)}});
+        },
+        [this](std::string const& server_id, bool alive) {
+            give(calls::input{calls::probed{server_id, alive}});
+        }});
+
+    callers_ = std::make_unique<loop::http_server>(
+        settings_.callers_, settings_.max_connections_,
+        loop::http_handlers{
+            [this](std::uint64_t number, request r, std::string const& remote)
+            { caller_request(number, std::move(r), remote); },
+            [this](std::uint64_t number)
+            {
+                request_began_.erase(number);
+                give(calls::input{calls::caller_left{number}});
+            }});
+    BOOST_LEAF_CHECK(callers_->listen("listen.callers"));
+    operators_ = std::make_unique<loop::http_server>(
+        settings_.operators_, settings_.max_connections_,
+        loop::http_handlers{
+            [this](std::uint64_t number, request r, std::string const&)
+            { operator_request(number, r); },
+            [this](std::uint64_t number) { operator_changes_.erase(number); }});
+    BOOST_LEAF_CHECK(operators_->listen("listen.operators"));
+    if (settings_.control_)
+        BOOST_LEAF_CHECK(start_control());
+    loop_.on_stop_signal(
+        [this]
+        {
+            log(severity::info, part::daemon, "stop signal received");
+            give(calls::input{calls::stop_requested{}});
+        });
+    return {};
+}
+
+leaf::result<void> daemon::start_control()
+{
+    BOOST_LEAF_AUTO(
+        opened, journal::journal_file::open(settings_.data_folder_));
+    journal_.emplace(std::move(opened));
+    random_source random = random_source::unpredictable();
+    bool new_identity = false;
+    BOOST_LEAF_AUTO(
+        disk,
+        recover(journal_->recovered(), settings_.host_, random, new_identity));
+    journal_->forget_recovered();
+    if (new_identity)
+    {
+        BOOST_LEAF_CHECK(journal_->append(identity_record(disk.self_)));
+        journal::sync_job const job = journal_->take_sync_job();
+        BOOST_LEAF_CHECK(journal::run(job));
+        journal_->finish(job);
+        log(severity::info, part::control,
+            "data folder is empty; starts blank");
+    }
+    control_ = control::make_state(
+        consensus_settings(settings_), std::move(disk), random,
+        loop::read_clocks().now_);
+    return {};
+}
+
+int daemon::run()
+{
+    log(severity::info, part::daemon, "started",
+        {{"callers", settings_.callers_.address_ + ":" +
+                         std::to_string(settings_.callers_.port_)},
+         {"control", settings_.control_ ? "yes" : "no"}});
+    timer_fired();
+    loop_.run();
+    log(severity::info, part::daemon, "stopped");
+    return EXIT_SUCCESS;
+}
+
+// --- Inputs ---------------------------------------------------------------
+
+void daemon::give(calls::input in)
+{
+    inputs_.emplace_back(std::move(in));
+    work_off();
+}
+
+void daemon::give(control::input in)
+{
+    if (!control_)
+        return;
+    inputs_.emplace_back(std::move(in));
+    work_off();
+}
+
+void daemon::work_off()
+{
+    if (working_)
+        return; // the outer call takes it
+    working_ = true;
+    while (!inputs_.empty())
+    {
+        std::variant<calls::input, control::input> in =
+            std::move(inputs_.front());
+        inputs_.pop_front();
+        std::visit(
+            overloaded{
+                [&](calls::input& i) { step_calls(std::move(i)); },
+                [&](control::input& i) { step_control(std::move(i)); },
+            },
+            in);
+    }
+    working_ = false;
+    start_sync();
+    arm_timer();
+}
+
+void daemon::step_calls(calls::input in)
+{
+    calls::node_step step =
+        calls::run(std::move(calls_), std::move(in), loop::read_clocks());
+    calls_ = std::move(step.state_);
+    for (calls::effect& e : step.effects_)
+        carry_out(std::move(e));
+}
+
+void daemon::step_control(control::input in)
+{
+    control::node_step step =
+        control::run(std::move(*control_), std::move(in), loop::read_clocks());
+    control_ = std::move(step.state_);
+    for (control::effect& e : step.effects_)
+        carry_out(std::move(e));
+}
+
+void daemon::arm_timer()
+{
+    instant due = calls::next_due(calls_);
+    if (control_)
+        due = std::min(due, control::next_due(*control_));
+    loop_.set_timer(due, [this] { timer_fired(); });
+}
+
+void daemon::timer_fired()
+{
+    instant const now = loop::read_clocks().now_;
+    if (control_ && control::next_due(*control_) <= now)
+        give(control::input{time_passed{}});
+    if (calls::next_due(calls_) <= now)
+        give(calls::input{time_passed{}});
+    arm_timer();
+}
+
+// --- Messages ---------------------------------------------------------------
+
+void daemon::receive_bytes(host_name const& from, std::string const& bytes)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(m, wire::decode_message(bytes));
+            receive(from, std::move(m));
+            return {};
+        },
+        [&](user_error const& e)
+        {
+            log(severity::warn, part::peers, "message dropped",
+                {{"from", from.str()}, {"what", e.what_}});
+        },
+        [&]
+        {
+            log(severity::warn, part::peers, "message dropped",
+                {{"from", from.str()}});
+        });
+}
+
+void daemon::receive(host_name const& from, message m)
+{
+    if (is_for_control(m))
+        give(control::input{received{from, std::move(m)}});
+    else
+        give(calls::input{received{from, std::move(m)}});
+}
+
+void daemon::connect_address(host_name const& host, message const& m)
+{
+    forward const* f = std::get_if<forward>(&m);
+    if (!f)
+        return;
+    auto const servers = calls_.servers_.find(f->service_);
+    if (servers == calls_.servers_.end())
+        return;
+    for (backend_server const& server : servers->second)
+    {
+        if (server.host_ == host)
+            return links_->set_address(host, server.gate_);
+    }
+}
+
+void daemon::transmit(outgoing out)
+{
+    if (out.to_.empty())
+        return;
+    if (out.to_ == settings_.host_)
+        return receive(out.to_, std::move(out.message_));
+    connect_address(out.to_, out.message_);
+    links_->send(out.to_, wire::encode(out.message_), tag_of(out.message_));
+}
+
+// --- Effects of the call node
+// --------------------------------------------------
+
+void daemon::carry_out(calls::effect e)
+{
+    std::visit(
+        overloaded{
+            [&](send& s) { transmit(std::move(s.outgoing_)); },
+            [&](note& n) { log(severity::info, part::calls, n.text_); },
+            [&](calls::answer_caller& a) { answer_http(a); },
+            [&](calls::run_on_backend& r)
+            { backends_->run(r.run_, r.address_, r.request_, r.timeout_); },
+            [&](calls::cancel_run& c) { backends_->cancel(c.run_); },
+            [&](calls::probe_server& p)
+            { backends_->probe(p.server_id_, p.address_); },
+            [&](calls::stopped&)
+            {
+                stopped_ = true;
+                loop_.quit();
+            },
+        },
+        e);
+}
+
+// --- Effects of the control node
+// -------------------------------------------------
+
+void daemon::carry_out(control::effect e)
+{
+    if (last_store_ > synced_store_ && waits_for_disk(e))
+        held_.push_back({last_store_, std::move(e)});
+    else
+        perform(std::move(e));
+}
+
+void daemon::perform(control::effect e)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            return std::visit(
+                overloaded{
+                    [&](control::store_hard_state& s) -> leaf::result<void>
+                    {
+                        last_store_ = s.number_;
+                        return write_store(*journal_, s);
+                    },
+                    [&](control::store_entries& s) -> leaf::result<void>
+                    {
+                        last_store_ = s.number_;
+                        return write_store(*journal_, s);
+                    },
+                    [&](control::store_snapshot& s) -> leaf::result<void>
+                    {
+                        last_store_ = s.number_;
+                        return write_store(
+                            *journal_, s, control_->consensus_.self_);
+                    },
+                    [&](send& s) -> leaf::result<void>
+                    {
+                        transmit(std::move(s.outgoing_));
+                        return {};
+                    },
+                    [&](control::answer_operator& a) -> leaf::result<void>
+                    {
+                        operator_changes_.erase(a.number_);
+                        answer http{
+                            200, {}, wire::to_json(a.outcome_).dump() + "\n"};
+                        http.headers_.push_back(
+                            {"content-type", "application/json"});
+                        operators_->answer(a.number_, http);
+                        return {};
+                    },
+                    [&](note& n) -> leaf::result<void>
+                    {
+                        log(severity::info, part::control, n.text_);
+                        return {};
+                    },
+                },
+                e);
+        },
+        [&](internal_error const& error) { fail_disk(error.what_); },
+        [&] { fail_disk("unknown error"); });
+}
+
+// What reached the disk is unknown now; only a restart can tell.
+void daemon::fail_disk(std::string const& what)
+{
+    log(severity::error, part::control,
+        "the disk failed; stops at once rather than vote on lost memory",
+        {{"what", what}});
+    std::_Exit(EXIT_FAILURE);
+}
+
+void daemon::start_sync()
+{
+    if (syncing_ || !journal_ || last_store_ == synced_store_)
+        return;
+    syncing_ = true;
+    control::store_number const number = last_store_;
+    journal::sync_job const job = journal_->take_sync_job();
+    instant const began = loop::read_clocks().now_;
+    loop::sync_in_worker(
+        job,
+        [this, number, job, began](std::string const& error)
+        {
+            if (!error.empty())
+                fail_disk(error);
+            journal_->finish(job);
+            sync_latency_.add(loop::read_clocks().now_ - began);
+            syncing_ = false;
+            store_done(number);
+        });
+}
+
+void daemon::store_done(control::store_number number)
+{
+    synced_store_ = number;
+    release_held();
+    give(control::input{control::stores_synced{number}});
+}
+
+void daemon::release_held()
+{
+    while (!held_.empty() && held_.front().after_ <= synced_store_)
+    {
+        control::effect e = std::move(held_.front().effect_);
+        held_.pop_front();
+        perform(std::move(e));
+    }
+}
+
+} // namespace jackdawhall::daemon
--- /dev/null
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -0,0 +1,113 @@
+// Drives the nodes of one daemon. Inputs queue up and are given to their node
+// one after the other; effects are carried out in order. Effects that follow a
+// store wait until the store is synced.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include <jackdawhall/calls.hpp>
+#include <jackdawhall/control.hpp>
+#include <jackdawhall/daemon/control_disk.hpp>
+#include <jackdawhall/daemon/log.hpp>
+#include <jackdawhall/daemon/metrics.hpp>
+#include <jackdawhall/loop.hpp>
+#include <jackdawhall/settings.hpp>
+#include <jackdawhall/wire.hpp>
+
+namespace jackdawhall::daemon
+{
+
+class daemon
+{
+public:
+    explicit daemon(settings::daemon_settings s);
+
+    // Opens the journal and all addresses. Fails with user_error.
+    leaf::result<void> start();
+
+    // Runs until a stop signal and the graceful stop after it. Returns the exit
+    // status of the process.
+    int run();
+
+private:
+    // An effect of the control node that waits for a store.
+    struct held_effect
+    {
+        control::store_number after_ = 0;
+        control::effect effect_;
+    };
+
+    leaf::result<void> start_control();
+
+    // Inputs.
+    void give(calls::input in);
+    void give(control::input in);
+    void work_off();
+    void step_calls(calls::input in);
+    void step_control(control::input in);
+    void arm_timer();
+    void timer_fired();
+
+    // Messages.
+    void receive_bytes(host_name const& from, std::string const& bytes);
+    void receive(host_name const& from, message m);
+    void transmit(outgoing out);
+    void connect_address(host_name const& host, message const& m);
+
+    // Effects of the call node.
+    void carry_out(calls::effect e);
+    void answer_http(calls::answer_caller const& a);
+
+    // Effects of the control node.
+    void carry_out(control::effect e);
+    void perform(control::effect e);
+    void store_done(control::store_number number);
+    void start_sync();
+    void release_held();
+
+    // HTTP.
+    void
+    caller_request(std::uint64_t number, request r, std::string const& remote);
+    void
+    announce(std::uint64_t number, request const& r, std::string const& remote);
+    void operator_request(std::uint64_t number, request const& r);
+    bool is_operator(request const& r) const;
+    answer answer_operator_read(request const& r) const;
+    void take_operator_change(std::uint64_t number, request const& r);
+    wire::json status() const;
+    wire::json counters() const;
+    wire::json records(std::string const& kind) const;
+    answer ready() const;
+    std::string metrics() const;
+
+    [[noreturn]] void fail_disk(std::string const& what);
+
+    settings::daemon_settings settings_;
+    loop::event_loop loop_;
+    calls::state calls_;
+    std::optional<control::state> control_;
+    std::optional<journal::journal_file> journal_;
+    std::unique_ptr<loop::peer_links> links_;
+    std::unique_ptr<loop::http_server> callers_;
+    std::unique_ptr<loop::http_server> operators_;
+    std::unique_ptr<loop::backend_client> backends_;
+
+    std::deque<std::variant<calls::input, control::input>> inputs_;
+    bool working_ = false;
+
+    control::store_number last_store_ = 0;
+    control::store_number synced_store_ = 0;
+    bool syncing_ = false;
+    std::deque<held_effect> held_;
+
+    std::map<std::uint64_t, instant> request_began_;
+    std::set<std::uint64_t> operator_changes_; // waiting for their outcome
+    latency request_latency_;
+    latency sync_latency_;
+    bool stopped_ = false;
+};
+
+} // namespace jackdawhall::daemon
--- /dev/null
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -0,0 +1,372 @@
+// The HTTP sides of the daemon: callers, announcements and operators.
+#include <jackdawhall/daemon/daemon.hpp>
+
+#include <charconv>
+
+#include <jackdawhall/daemon/http_answer.hpp>
+
+namespace jackdawhall::daemon
+{
+
+namespace
+{
+
+constexpr char announce_path[] = "/.jackdawhall/announce";
+
+using wire::json;
+
+std::string verdict_text(verdict const& v)
+{
+    return std::visit(
+        overloaded{
+            [](not_run const& n)
+            { return "not-run " + std::string(to_text(n.reason_)); },
+            [](may_have_run const& m)
+            { return "may-have-run " + std::string(to_text(m.reason_)); },
+            [](ran const& r)
+            { return "ran " + std::to_string(r.answer_.status_); },
+        },
+        v);
+}
+
+answer error_answer(
+    std::uint16_t status, std::string const& what, std::string const& mend)
+{
+    return json_answer(
+        status, json{{"what", what}, {"mend", mend}}.dump() + "\n");
+}
+
+std::optional<endpoint> parse_endpoint(std::string const& text)
+{
+    std::size_t const colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    auto const end = text.data() + text.size();
+    auto const [stop, error] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    if (error != std::errc{} || stop != end || port == 0)
+        return std::nullopt;
+    return endpoint{text.substr(0, colon), port};
+}
+
+std::optional<server_state> parse_state(std::string const& text)
+{
+    for (server_state const state :
+         {server_state::warming, server_state::ready, server_state::draining})
+    {
+        if (to_text(state) == text)
+            return state;
+    }
+    return std::nullopt;
+}
+
+std::uint32_t bounded(json const& value, std::uint32_t most)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() < 1 ||
+        value.get<std::uint64_t>() > most)
+        throw json::other_error::create(
+            501, "a count is no whole number from 1 to " + std::to_string(most),
+            nullptr);
+    return value.get<std::uint32_t>();
+}
+
+service_name service_from(json const& value)
+{
+    std::string text = value.get<std::string>();
+    if (!is_name(text))
+        throw json::other_error::create(
+            501, "a service is not a name", nullptr);
+    return service_name::make(std::move(text)).value();
+}
+
+// Throws json::exception.
+calls::announcement parse_announcement(std::string const& body)
+{
+    json const given = json::parse(body);
+    calls::announcement a;
+    a.id_ = given.at("id").get<std::string>();
+    if (!is_name(a.id_))
+        throw json::other_error::create(501, "the id is not a name", nullptr);
+    a.service_ = service_from(given.at("service"));
+    std::optional<endpoint> const address =
+        parse_endpoint(given.at("address").get<std::string>());
+    std::optional<server_state> const state =
+        parse_state(given.value("state", "ready"));
+    if (!address || !state)
+        throw json::other_error::create(
+            501, "address or state is not valid", nullptr);
+    a.address_ = *address;
+    a.state_ = *state;
+    a.slots_ = bounded(given.at("slots"), 100000);
+    a.connections_ = bounded(given.at("connections"), 1000000);
+    for (json const& called : given.value("calls", json::array()))
+        a.calls_.push_back(service_from(called));
+    return a;
+}
+
+template <class Reason>
+json reasons_json(calls::reason_counters<Reason> const& counters)
+{
+    json object = json::object();
+    for (std::size_t i = 0; i < counters.size(); ++i)
+        object[std::string(to_text(static_cast<Reason>(i)))] = counters.at(i);
+    return object;
+}
+
+json server_json(backend_server const& server)
+{
+    return json{
+        {"host", server.host_.str()},
+        {"region", server.location_.region_.str()},
+        {"zone", server.location_.zone_.str()},
+        {"service", server.service_.str()},
+        {"id", server.id_},
+        {"slots", server.slots_},
+        {"connections", server.connections_},
+        {"state", to_text(server.state_)}};
+}
+
+json daemon_json(
+    host_name const& host, control::subscriber const& daemon, instant now)
+{
+    return json{
+        {"host", host.str()},
+        {"region", daemon.location_.region_.str()},
+        {"zone", daemon.location_.zone_.str()},
+        {"revision", daemon.have_},
+        {"newest_schema", daemon.newest_schema_},
+        {"silent_ms", (now - daemon.heard_).count() / 1000}};
+}
+
+} // namespace
+
+// --- Callers ----------------------------------------------------------------
+
+void daemon::caller_request(
+    std::uint64_t number, request r, std::string const& remote)
+{
+    if (r.path_ == announce_path)
+        return announce(number, r, remote);
+    request_began_.emplace(number, loop::read_clocks().now_);
+    give(calls::input{calls::caller_request{number, std::move(r)}});
+}
+
+void daemon::answer_http(calls::answer_caller const& a)
+{
+    auto const began = request_began_.find(a.number_);
+    if (began != request_began_.end())
+    {
+        request_latency_.add(loop::read_clocks().now_ - began->second);
+        request_began_.erase(began);
+    }
+    log(severity::debug, part::calls, "request answered",
+        {{"request", a.root_},
+         {"account", a.account_.str()},
+         {"revision", std::to_string(calls_.configuration_.revision_)},
+         {"verdict", verdict_text(a.verdict_)}});
+    callers_->answer(a.number_, to_http(a.verdict_, a.root_));
+}
+
+// Only a backend server on this very host may announce itself here.
+void daemon::announce(
+    std::uint64_t number, request const& r, std::string const& remote)
+{
+    try
+    {
+        if (r.method_ != "POST")
+            return callers_->answer(
+                number, error_answer(405, "not a POST", "use POST"));
+        calls::announcement const a = parse_announcement(r.body_);
+        if (!remote.starts_with("127.") && remote != a.address_.address_)
+            return callers_->answer(
+                number,
+                error_answer(
+                    403, "announced from another host",
+                    "announce to the daemon beside the backend server"));
+        give(calls::input{a});
+        callers_->answer(number, json_answer(200, "{}\n"));
+    }
+    catch (json::exception const& e)
+    {
+        callers_->answer(
+            number, error_answer(
+                        400, e.what(),
+                        "send id, service, address, slots, connections and "
+                        "state; see docs/CALLING.md"));
+    }
+}
+
+// --- Operators
+// ----------------------------------------------------------------
+
+bool daemon::is_operator(request const& r) const
+{
+    return equal_in_constant_time(
+        find_header(r.headers_, "authorization"),
+        "Bearer " + settings_.operator_token_);
+}
+
+void daemon::operator_request(std::uint64_t number, request const& r)
+{
+    bool const open =
+        r.path_ == "/health" || r.path_ == "/ready" || r.path_ == "/metrics";
+    if (!open && !is_operator(r))
+        return operators_->answer(
+            number, error_answer(
+                        401, "the operator's token is missing or wrong",
+                        "give --token_file"));
+    if (r.method_ == "POST" && r.path_ == "/v1/changes")
+        return take_operator_change(number, r);
+    operators_->answer(number, answer_operator_read(r));
+}
+
+void daemon::take_operator_change(std::uint64_t number, request const& r)
+{
+    if (!control_)
+        return operators_->answer(
+            number, error_answer(
+                        421, "this is not a control host",
+                        "send changes to a control host"));
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            json const given = json::parse(r.body_, nullptr, false);
+            BOOST_LEAF_AUTO(c, wire::change_from_json(given));
+            log(severity::info, part::operators, "change received",
+                {{"operation", c.operation_id_}, {"author", c.author_}});
+            operator_changes_.insert(number);
+            give(
+                control::input{control::operator_change{number, std::move(c)}});
+            return {};
+        },
+        [&](user_error const& e)
+        { operators_->answer(number, error_answer(400, e.what_, e.mend_)); },
+        [&]
+        {
+            operators_->answer(
+                number, error_answer(500, "unknown error", "see the log"));
+        });
+}
+
+answer daemon::answer_operator_read(request const& r) const
+{
+    if (r.method_ != "GET")
+        return error_answer(405, "not a GET", "use GET");
+    std::string const path = r.path_.substr(0, r.path_.find('?'));
+    if (path == "/health")
+        return json_answer(200, "{\"health\":\"ok\"}\n");
+    if (path == "/ready")
+        return ready();
+    if (path == "/metrics")
+        return {
+            200, {{"content-type", "text/plain; version=0.0.4"}}, metrics()};
+    if (path == "/v1/status")
+        return json_answer(200, status().dump() + "\n");
+    if (path == "/v1/counters")
+        return json_answer(200, counters().dump() + "\n");
+    if (path == "/v1/records")
+        return json_answer(200, records("").dump() + "\n");
+    if (path == "/v1/history" && control_)
+    {
+        json list = json::array();
+        for (past_change const& past : control_->machine_.history_)
+            list.push_back(wire::to_json(past));
+        return json_answer(200, list.dump() + "\n");
+    }
+    return error_answer(404, "no such page", "see docs/OPERATING.md");
+}
+
+json daemon::records(std::string const& kind) const
+{
+    json list = json::array();
+    std::map<record_key, record> const& held =
+        control_ ? control_->machine_.records_ : calls_.configuration_.records_;
+    for (auto const& r : held)
+    {
+        if (kind.empty() || r.first.kind_ == kind)
+            list.push_back(wire::to_json(r.second));
+    }
+    return list;
+}
+
+json daemon::status() const
+{
+    instant const now = loop::read_clocks().now_;
+    json object{
+        {"host", settings_.host_.str()},
+        {"revision", calls_.configuration_.revision_},
+        {"newest_schema", calls_.configuration_.newest_schema_},
+        {"records_unused", calls_.configuration_.unused_},
+        {"fresh", calls::is_fresh(calls_.configuration_, now)},
+        {"leader", calls_.control_.leader_.str()},
+        {"in_force_within_ms", calls::freshness_lease.count() / 1000}};
+    if (!control_)
+        return object;
+    control::consensus_state const& c = control_->consensus_;
+    object["log"] = json{
+        {"leads", control::is_leader(c)},
+        {"leader", control::leader_of(c).value_or(host_name{}).str()},
+        {"term", c.hard_state_.term_},
+        {"commit", c.commit_},
+        {"revision", control_->machine_.revision_}};
+    std::optional<duration> const age = control::knowledge_age(c, now);
+    object["log"]["age_ms"] = age ? json(age->count() / 1000) : json(nullptr);
+    json voters = json::array();
+    for (voter const& v : c.log_.voters())
+        voters.push_back(v.host_.str());
+    object["log"]["voters"] = std::move(voters);
+    json daemons = json::array();
+    for (auto const& [host, daemon] : control_->distribution_.subscribers_)
+        daemons.push_back(daemon_json(host, daemon, now));
+    object["daemons"] = std::move(daemons);
+    json servers = json::array();
+    for (auto const& service : control_->membership_.services_)
+    {
+        for (backend_server const& server :
+             control::servers_of(control_->membership_, service.first))
+            servers.push_back(server_json(server));
+    }
+    object["servers"] = std::move(servers);
+    return object;
+}
+
+json daemon::counters() const
+{
+    calls::counters const& n = calls_.counters_;
+    return json{
+        {"requests", n.requests_},
+        {"ran", n.ran_},
+        {"joined", n.joined_},
+        {"runs", n.runs_},
+        {"refusals", reasons_json<refusal_reason>(n.refusals_)},
+        {"doubts", reasons_json<doubt_reason>(n.doubts_)},
+        {"retries", reasons_json<retry_reason>(n.retries_)}};
+}
+
+answer daemon::ready() const
+{
+    bool const fresh =
+        calls::is_fresh(calls_.configuration_, loop::read_clocks().now_);
+    bool const stopping = calls_.stopping_.has_value();
+    if (fresh && !stopping)
+        return json_answer(200, "{\"ready\":true}\n");
+    return json_answer(
+        503, stopping ? "{\"ready\":false,\"why\":\"stopping\"}\n"
+                      : "{\"ready\":false,\"why\":\"no fresh "
+                        "configuration\"}\n");
+}
+
+std::string daemon::metrics() const
+{
+    instant const now = loop::read_clocks().now_;
+    std::string text = expose_calls(calls_, now);
+    if (control_)
+    {
+        text += expose_control(*control_, now);
+        text += sync_latency_.expose("journal_sync_seconds");
+    }
+    return text + request_latency_.expose("request_seconds");
+}
+
+} // namespace jackdawhall::daemon
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/event_loop.hpp
@@ -0,0 +1,42 @@
+// The main loop, its clocks, one timer and the stop signals.
+#pragma once
+
+#include <functional>
+
+#include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::loop
+{
+
+// Both clocks now: CLOCK_MONOTONIC, and the system's wall clock.
+present read_clocks();
+
+class event_loop
+{
+public:
+    event_loop();
+
+    // Runs until quit().
+    void run();
+    void quit();
+
+    // Calls `f` once at `due`, in place of what was set before.
+    void set_timer(instant due, std::function<void()> f);
+
+    // Calls `f` for SIGTERM and SIGINT.
+    void on_stop_signal(std::function<void()> f);
+
+private:
+    struct loop_deleter
+    {
+        void operator()(GMainLoop* l) const { g_main_loop_unref(l); }
+    };
+    std::unique_ptr<GMainLoop, loop_deleter> loop_;
+    source_ptr timer_;
+    instant timer_due_;
+    std::function<void()> on_timer_;
+    std::function<void()> on_stop_;
+};
+
+} // namespace jackdawhall::loop
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/gobject.hpp
@@ -0,0 +1,53 @@
+// Owning pointers to GLib objects. Not for users of the package.
+#pragma once
+
+#include <gio/gio.h>
+#include <memory>
+#include <string>
+
+namespace jackdawhall::loop
+{
+
+struct object_deleter
+{
+    void operator()(void* object) const { g_object_unref(object); }
+};
+template <class Object>
+using object_ptr = std::unique_ptr<Object, object_deleter>;
+
+struct error_deleter
+{
+    void operator()(GError* error) const { g_error_free(error); }
+};
+using error_ptr = std::unique_ptr<GError, error_deleter>;
+
+struct bytes_deleter
+{
+    void operator()(GBytes* bytes) const { g_bytes_unref(bytes); }
+};
+using bytes_ptr = std::unique_ptr<GBytes, bytes_deleter>;
+
+// A source attached to the default context; destroyed with its owner.
+struct source_deleter
+{
+    void operator()(GSource* source) const
+    {
+        g_source_destroy(source);
+        g_source_unref(source);
+    }
+};
+using source_ptr = std::unique_ptr<GSource, source_deleter>;
+
+template <class Object>
+object_ptr<Object> share(Object* object)
+{
+    return object_ptr<Object>(
+        static_cast<Object*>(g_object_ref(static_cast<void*>(object))));
+}
+
+inline std::string message_of(error_ptr const& error)
+{
+    return error ? error->message : "unknown error";
+}
+
+} // namespace jackdawhall::loop
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/http_fetch.hpp
@@ -0,0 +1,16 @@
+// One HTTP request that a command-line program waits for.
+#pragma once
+
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::loop
+{
+
+// Fails with user_error if no whole answer came within `timeout`.
+leaf::result<answer>
+fetch(endpoint const& to, request const& r, std::chrono::seconds timeout);
+
+// Lets a command-line program sleep. Never called by the daemon.
+void pause_program(duration d);
+
+} // namespace jackdawhall::loop
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -0,0 +1,276 @@
+#include <jackdawhall/loop/http_server.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace jackdawhall::loop
+{
+
+namespace
+{
+
+// A connection without any byte for this long is closed.
+constexpr guint idle_timeout_s = 60;
+constexpr goffset max_request_bytes = (1 << 20) + 1;
+
+headers headers_of(SoupMessageHeaders* from)
+{
+    headers fields;
+    SoupMessageHeadersIter iter;
+    char const* name = nullptr;
+    char const* value = nullptr;
+    soup_message_headers_iter_init(&iter, from);
+    while (soup_message_headers_iter_next(&iter, &name, &value))
+    {
+        char* lower = g_ascii_strdown(name, -1);
+        fields.push_back({lower, value});
+        g_free(lower);
+    }
+    return fields;
+}
+
+request request_of(SoupServerMessage* message)
+{
+    request r;
+    r.method_ = soup_server_message_get_method(message);
+    GUri* uri = soup_server_message_get_uri(message);
+    r.path_ = g_uri_get_path(uri);
+    if (char const* query = g_uri_get_query(uri))
+        r.path_ += std::string("?") + query;
+    r.headers_ = headers_of(soup_server_message_get_request_headers(message));
+    SoupMessageBody* body = soup_server_message_get_request_body(message);
+    bytes_ptr const bytes(soup_message_body_flatten(body));
+    gsize size = 0;
+    void const* data = g_bytes_get_data(bytes.get(), &size);
+    if (size > 0)
+        r.body_.assign(static_cast<char const*>(data), size);
+    return r;
+}
+
+void refuse_large(SoupServerMessage* message)
+{
+    soup_server_message_set_status(
+        message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+    SoupMessageHeaders* fields =
+        soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(fields, "Connection", "close");
+    soup_message_headers_replace(fields, verdict_header, "not-run");
+    soup_message_headers_replace(fields, reason_header, "too_large");
+}
+
+// Closes the connection of a request whose body grows beyond the bound.
+void bound_chunk(SoupServerMessage* message, GBytes* chunk, gpointer)
+{
+    auto const seen = reinterpret_cast<gsize>(
+        g_object_get_data(G_OBJECT(message), "jackdawhall-bytes"));
+    gsize const size = seen + g_bytes_get_size(chunk);
+    g_object_set_data(
+        G_OBJECT(message), "jackdawhall-bytes",
+        reinterpret_cast<gpointer>(size));
+    if (size <= static_cast<gsize>(max_request_bytes))
+        return;
+    GSocket* socket = soup_server_message_get_socket(message);
+    if (socket)
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+}
+
+void bound_early(
+    SoupServer*, SoupServerMessage* message, char const*, GHashTable*, gpointer)
+{
+    SoupMessageHeaders* fields =
+        soup_server_message_get_request_headers(message);
+    if (soup_message_headers_get_encoding(fields) ==
+            SOUP_ENCODING_CONTENT_LENGTH &&
+        soup_message_headers_get_content_length(fields) > max_request_bytes)
+        return refuse_large(message);
+    g_signal_connect(message, "got-chunk", G_CALLBACK(bound_chunk), nullptr);
+}
+
+} // namespace
+
+struct http_server::exchange
+{
+    http_server* owner_ = nullptr;
+    std::uint64_t number_ = 0;
+    object_ptr<SoupServerMessage> message_;
+    gulong finished_ = 0; // signal handler
+    source_ptr leaving_;
+};
+
+http_server::http_server(
+    endpoint listen, std::uint32_t max_connections, http_handlers handlers)
+    : listen_(std::move(listen)), max_connections_(max_connections),
+      handlers_(std::move(handlers)),
+      server_(SOUP_SERVER(
+          g_object_new(SOUP_TYPE_SERVER, "server-header", "", nullptr)))
+{
+    soup_server_add_early_handler(
+        server_.get(), nullptr, bound_early, nullptr, nullptr);
+    soup_server_add_handler(
+        server_.get(), nullptr,
+        [](SoupServer*, SoupServerMessage* message, char const*, GHashTable*,
+           gpointer self) { static_cast<http_server*>(self)->take(message); },
+        this, nullptr);
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+    for (auto& open : open_)
+        g_signal_handler_disconnect(
+            open.second.message_.get(), open.second.finished_);
+    open_.clear();
+    soup_server_disconnect(server_.get());
+}
+
+leaf::result<void> http_server::listen(std::string const& key)
+{
+    service_.reset(g_socket_service_new());
+    object_ptr<GInetAddress> const ip(
+        g_inet_address_new_from_string(listen_.address_.c_str()));
+    object_ptr<GSocketAddress> const address(
+        g_inet_socket_address_new(ip.get(), listen_.port_));
+    GError* raw = nullptr;
+    gboolean const bound = g_socket_listener_add_address(
+        G_SOCKET_LISTENER(service_.get()), address.get(), G_SOCKET_TYPE_STREAM,
+        G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &raw);
+    error_ptr const error(raw);
+    if (!bound)
+        return leaf::new_error(user_error{
+            "cannot listen on " + listen_.address_ + ":" +
+                std::to_string(listen_.port_) + ": " + message_of(error),
+            "free the port, or change " + key});
+    g_signal_connect(
+        service_.get(), "incoming",
+        G_CALLBACK(
+            +[](GSocketService*, GSocketConnection* connection, GObject*,
+                gpointer self) -> gboolean
+            {
+                static_cast<http_server*>(self)->accept(connection);
+                return TRUE;
+            }),
+        this);
+    g_socket_service_start(service_.get());
+    return {};
+}
+
+void http_server::accept(GSocketConnection* connection)
+{
+    if (connections_ >= max_connections_)
+        return; // dropping the connection closes it
+    GSocket* socket = g_socket_connection_get_socket(connection);
+    g_socket_set_timeout(socket, idle_timeout_s);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    object_ptr<GSocketAddress> const local(
+        g_socket_connection_get_local_address(connection, nullptr));
+    object_ptr<GSocketAddress> const remote(
+        g_socket_connection_get_remote_address(connection, nullptr));
+    if (!local || !remote)
+        return;
+    ++connections_;
+    g_object_weak_ref(
+        G_OBJECT(connection),
+        [](gpointer self, GObject*)
+        { --static_cast<http_server*>(self)->connections_; },
+        this);
+    soup_server_accept_iostream(
+        server_.get(), G_IO_STREAM(connection), local.get(), remote.get(),
+        nullptr);
+}
+
+void http_server::take(SoupServerMessage* message)
+{
+    if (soup_server_message_get_status(message) != 0)
+        return; // refused early
+    std::uint64_t const number = ++last_number_;
+    exchange& e = open_[number];
+    e.owner_ = this;
+    e.number_ = number;
+    e.message_ = share(message);
+    e.finished_ = g_signal_connect(
+        message, "finished",
+        G_CALLBACK(+[](SoupServerMessage*, gpointer data)
+                   {
+                       exchange& ended = *static_cast<exchange*>(data);
+                       ended.owner_->forget(ended.number_);
+                   }),
+        &e);
+    soup_server_message_pause(message);
+    watch_for_leaving(e);
+    char const* host = soup_server_message_get_remote_host(message);
+    handlers_.requested_(number, request_of(message), host ? host : "");
+}
+
+gboolean
+http_server::caller_readable(GSocket* socket, GIOCondition, gpointer data)
+{
+    exchange& waiting = *static_cast<exchange*>(data);
+    char byte = 0;
+    GInputVector vector{&byte, 1};
+    gint flags = G_SOCKET_MSG_PEEK;
+    gssize const n = g_socket_receive_message(
+        socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr,
+        nullptr);
+    http_server& server = *waiting.owner_;
+    std::uint64_t const number = waiting.number_;
+    waiting.leaving_.reset();
+    if (n == 0)
+    {
+        server.handlers_.left_(number);
+        server.forget(number);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+// While a request waits for its answer, its caller has nothing to send; a
+// readable connection without bytes means that the caller closed it.
+void http_server::watch_for_leaving(exchange& e)
+{
+    GSocket* socket = soup_server_message_get_socket(e.message_.get());
+    if (!socket)
+        return;
+    e.leaving_.reset(g_socket_create_source(socket, G_IO_IN, nullptr));
+    g_source_set_callback(
+        e.leaving_.get(), G_SOURCE_FUNC(caller_readable), &e, nullptr);
+    g_source_attach(e.leaving_.get(), nullptr);
+}
+
+void http_server::forget(std::uint64_t number)
+{
+    auto const open = open_.find(number);
+    if (open == open_.end())
+        return;
+    g_signal_handler_disconnect(
+        open->second.message_.get(), open->second.finished_);
+    soup_server_message_unpause(open->second.message_.get());
+    open_.erase(open);
+}
+
+void http_server::answer(std::uint64_t number, jackdawhall::answer const& a)
+{
+    auto const open = open_.find(number);
+    if (open == open_.end())
+        return;
+    SoupServerMessage* message = open->second.message_.get();
+    SoupMessageHeaders* fields =
+        soup_server_message_get_response_headers(message);
+    for (header const& field : a.headers_)
+        soup_message_headers_append(
+            fields, field.name_.c_str(), field.value_.c_str());
+    soup_server_message_set_status(message, a.status_, nullptr);
+    SoupMessageBody* body = soup_server_message_get_response_body(message);
+    soup_message_body_append(
+        body, SOUP_MEMORY_COPY, a.body_.data(), a.body_.size());
+    soup_message_body_complete(body);
+    forget(number);
+}
+
+void http_server::stop_accepting()
+{
+    if (!service_)
+        return;
+    g_socket_service_stop(service_.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
+}
+
+} // namespace jackdawhall::loop
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -0,0 +1,94 @@
+// Kept connections between daemons. A frame is a 4-byte length, a kind and
+// bytes. The accepting side sends a challenge, and the connecting side proves
+// that it knows the fleet's secret before any frame of its is taken.
+//
+// A link on which something was sent but nothing came back is probed, and
+// closed if it stays silent, without waiting for its peer. What was not yet
+// written to a link that closes is given back as undelivered.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+#include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::loop
+{
+
+inline constexpr std::uint32_t max_frame_bytes = 64 << 20;
+// Bytes that may wait to be written to one peer.
+inline constexpr std::size_t max_waiting_bytes = 96 << 20;
+inline constexpr std::size_t max_peer_connections = 16384;
+
+struct peer_handlers
+{
+    std::function<void(host_name const& from, std::string bytes)> received_;
+    // A link broke; tags up to `newest_written` may have reached the peer.
+    std::function<void(host_name const& host, std::uint64_t newest_written)>
+        lost_;
+    std::function<void(host_name const& to, std::string bytes)> undelivered_;
+    std::function<void(std::string)> note_;
+};
+
+class peer_links
+{
+public:
+    peer_links(
+        host_name self, endpoint listen, std::string secret,
+        peer_handlers handlers);
+    ~peer_links();
+    peer_links(peer_links const&) = delete;
+    peer_links& operator=(peer_links const&) = delete;
+
+    // Fails with user_error if the address cannot be listened on.
+    leaf::result<void> listen();
+
+    // Where to connect to a host.
+    void set_address(host_name const& host, endpoint const& address);
+
+    // Sends a message. A tag other than 0 is reported by lost_.
+    void send(host_name const& to, std::string bytes, std::uint64_t tag);
+
+    std::size_t open_links() const { return links_.size(); }
+
+private:
+    struct link;
+
+    link& add_link();
+    void accept(GSocketConnection* connection);
+    void connect_to(host_name const& host);
+    void adopt(link& l, GSocketConnection* connection);
+    void close(link& l, std::string const& why);
+    void collect_closed();
+    void collect_later();
+    void read_ready(link& l);
+    void take_frames(link& l);
+    void take_frame(link& l, char kind, std::string payload);
+    void take_hello(link& l, std::string const& payload);
+    void queue(
+        link& l, char kind, std::string const& payload, std::uint64_t tag,
+        bool is_message);
+    void flush(link& l);
+    void arm(link& l, duration after);
+    void tend(link& l);
+    void become_ready(link& l);
+    std::string proof(std::string const& nonce, std::string const& host) const;
+    link* link_to(host_name const& host);
+
+    host_name self_;
+    endpoint listen_;
+    std::string secret_;
+    peer_handlers handlers_;
+    object_ptr<GSocketService> service_;
+    object_ptr<GSocketClient> client_;
+    std::map<host_name, endpoint> addresses_;
+    std::map<host_name, instant> failed_; // connects that failed lately
+    std::list<link> links_;
+    source_ptr collecting_;
+};
+
+} // namespace jackdawhall::loop
