--- /dev/null
+++ b/bench/fake_backend.cpp
@@ -0,0 +1,215 @@
+// A small fake backend server: slots, a service time, calls of its own down the
+// chain, and failures on request. It announces itself to the daemon beside it,
+// and prints one line for each request that it runs.
+//
+// A request's headers steer it: "fake-crash: 1" ends the process at once,
+// "fake-truncate: 1" states a longer body than it sends, and
+// "fake-sleep-ms: N" replaces the service time.
+#include <cstdlib>
+#include <deque>
+#include <iostream>
+#include <unistd.h>
+
+#include <gflags/gflags.h>
+#include <jackdawhall/loop.hpp>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(listen, "127.0.0.1:9001", "address to serve on");
+DEFINE_string(daemon, "127.0.0.1:8080", "callers' address of its daemon");
+DEFINE_string(service, "plans", "service that it serves");
+DEFINE_string(id, "", "id of this run; by default the process id");
+DEFINE_uint32(slots, 8, "requests at once");
+DEFINE_uint32(service_ms, 0, "time that a request takes, in milliseconds");
+DEFINE_string(calls, "", "path that each request calls through its daemon");
+DEFINE_bool(echo_headers, false, "answer with the headers of the request");
+DEFINE_bool(silent, false, "announce nothing");
+
+namespace
+{
+
+namespace jd = jackdawhall;
+
+jd::endpoint parse_endpoint(std::string const& text)
+{
+    std::size_t const colon = text.rfind(':');
+    return {
+        text.substr(0, colon),
+        static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1))};
+}
+
+struct waiting_request
+{
+    std::uint64_t number_;
+    jd::request request_;
+};
+
+class fake_backend
+{
+public:
+    fake_backend()
+        : server_(
+              parse_endpoint(FLAGS_listen), 10000,
+              {[this](std::uint64_t number, jd::request r, std::string const&)
+               { take(number, std::move(r)); },
+               [](std::uint64_t) {}}),
+          client_(
+              {[this](std::uint64_t call, jd::loop::backend_result)
+               { finish(call); },
+               [](std::string const&, bool) {}})
+    {
+    }
+
+    int run()
+    {
+        if (!server_.listen("--listen"))
+            return EXIT_FAILURE;
+        loop_.on_stop_signal(
+            [this]
+            {
+                if (state_ == "draining")
+                    return loop_.quit();
+                state_ = "draining";
+                announce();
+                g_timeout_add_seconds(
+                    2,
+                    [](gpointer self) -> gboolean
+                    {
+                        static_cast<fake_backend*>(self)->loop_.quit();
+                        return G_SOURCE_REMOVE;
+                    },
+                    this);
+            });
+        if (!FLAGS_silent)
+        {
+            announce();
+            g_timeout_add_seconds(
+                1,
+                [](gpointer self) -> gboolean
+                {
+                    static_cast<fake_backend*>(self)->announce();
+                    return G_SOURCE_CONTINUE;
+                },
+                this);
+        }
+        loop_.run();
+        return EXIT_SUCCESS;
+    }
+
+private:
+    void announce()
+    {
+        nlohmann::json body{
+            {"id",
+             FLAGS_id.empty() ? "run-" + std::to_string(getpid()) : FLAGS_id},
+            {"service", FLAGS_service},
+            {"address", FLAGS_listen},
+            {"slots", FLAGS_slots},
+            {"connections", 500},
+            {"state", state_}};
+        jd::request const r{"POST", "/.jackdawhall/announce", {}, body.dump()};
+        client_.run(
+            ++last_announcement_, parse_endpoint(FLAGS_daemon), r,
+            std::chrono::seconds(1));
+    }
+
+    void take(std::uint64_t number, jd::request r)
+    {
+        queue_.push_back({number, std::move(r)});
+        start();
+    }
+
+    void start()
+    {
+        while (running_ < FLAGS_slots && !queue_.empty())
+        {
+            waiting_request next = std::move(queue_.front());
+            queue_.pop_front();
+            ++running_;
+            begin(std::move(next));
+        }
+    }
+
+    void begin(waiting_request w)
+    {
+        std::cout << "ran " << w.request_.method_ << " " << w.request_.path_
+                  << " key="
+                  << jd::find_header(
+                         w.request_.headers_, jd::idempotency_header)
+                  << std::endl;
+        if (!jd::find_header(w.request_.headers_, "fake-crash").empty())
+            std::_Exit(EXIT_FAILURE);
+        std::string const sleep =
+            jd::find_header(w.request_.headers_, "fake-sleep-ms");
+        guint const time = sleep.empty()
+                               ? FLAGS_service_ms
+                               : static_cast<guint>(std::atoi(sleep.c_str()));
+        std::uint64_t const number = w.number_;
+        open_.emplace(number, std::move(w));
+        if (time == 0)
+            return call_down(number);
+        struct timer
+        {
+            fake_backend* self_;
+            std::uint64_t number_;
+        };
+        g_timeout_add(
+            time,
+            [](gpointer data) -> gboolean
+            {
+                std::unique_ptr<timer> const t(static_cast<timer*>(data));
+                t->self_->call_down(t->number_);
+                return G_SOURCE_REMOVE;
+            },
+            new timer{this, number});
+    }
+
+    void call_down(std::uint64_t number)
+    {
+        if (FLAGS_calls.empty())
+            return finish(number);
+        jd::headers const& given = open_.at(number).request_.headers_;
+        jd::request r{"GET", FLAGS_calls, {}, {}};
+        r.headers_.push_back(
+            {jd::ticket_header, jd::find_header(given, jd::ticket_header)});
+        client_.run(
+            number, parse_endpoint(FLAGS_daemon), r, std::chrono::seconds(30));
+    }
+
+    void finish(std::uint64_t number)
+    {
+        auto const open = open_.find(number);
+        if (open == open_.end())
+            return;
+        jd::request const& r = open->second.request_;
+        jd::answer a{200, {{"content-type", "text/plain"}}, {}};
+        a.body_ = FLAGS_service + " answered " + r.method_ + " " + r.path_ +
+                  " " + r.body_ + "\n";
+        if (FLAGS_echo_headers)
+        {
+            for (jd::header const& field : r.headers_)
+                a.body_ += field.name_ + ": " + field.value_ + "\n";
+        }
+        server_.answer(number, a);
+        open_.erase(open);
+        --running_;
+        start();
+    }
+
+    jd::loop::event_loop loop_;
+    jd::loop::http_server server_;
+    jd::loop::backend_client client_;
+    std::deque<waiting_request> queue_;
+    std::map<std::uint64_t, waiting_request> open_;
+    std::uint32_t running_ = 0;
+    std::uint64_t last_announcement_ = 1ULL << 62;
+    std::string state_ = "ready";
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    fake_backend backend;
+    return backend.run();
+}
