Prove the promises on a fleet in memory, in virtual time

Found and mended on the way: - Retries were halved at each hop, so that the end of a chain of five had none. Now a forward takes all of them along and its answer returns the rest. - A request that crashed its server was tried again until its retries were spent: four servers for one request. Now a loss is tried again once. - A second crash report met the first one's record before it was committed and ended in a conflict, so that nothing was quarantined.

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -183,8 +183,9 @@
     }
     forwarded& f = *c.forward_;
     f.number_ = next_number(s);
-    f.lent_retries_ = c.retries_left_ / 2;
-    c.retries_left_ -= f.lent_retries_;
+    // All of them: the hop that fails may be far below, and what it does not
+    // spend comes back with the answer.
+    f.lent_retries_ = std::exchange(c.retries_left_, 0);
     c.tried_.push_back(key_of(f.server_));
     if (c.attempts_++ == 0)
         earn_credit(s, c.context_.account_);
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint32_t failures_to_set_aside = 3;
 constexpr duration first_set_aside = std::chrono::seconds(1);
 constexpr std::uint32_t most_set_asides = 5; // then the time stays the same
+// A request is tried again once after a loss: what was lost twice may be what
+// crashes its servers.
+constexpr std::uint32_t most_losses = 1;
 // Retry credits of an account at one daemon.
 constexpr double most_credits = 10;
 
@@ -76,7 +79,8 @@
             },
             [&](may_have_run const& r) -> reason
             {
-                if (repeatable && is_loss_to_retry(r.reason_))
+                bool const again = repeatable && c.losses_ < most_losses;
+                if (again && is_loss_to_retry(r.reason_))
                     return retry_reason::repeatable_lost;
                 return std::nullopt;
             },
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -72,6 +72,7 @@
         return finish_call(std::move(w), std::move(c), std::move(a.verdict_));
     ++s.counters_.retries_[static_cast<std::size_t>(*again)];
     --c.retries_left_;
+    c.losses_ += std::holds_alternative<may_have_run>(a.verdict_) ? 1 : 0;
     s.retry_credits_[c.context_.account_] -= 1;
     c.next_filter_ = first_filter_of_retry;
     return advance(std::move(w), std::move(c));
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -147,6 +147,7 @@
     std::size_t next_filter_ = 0; // where the call goes on after waiting
     std::uint32_t retries_left_ = 0;
     std::uint32_t attempts_ = 0;
+    std::uint32_t losses_ = 0; // attempts that may have run
     std::vector<server_key> tried_;
     std::optional<held_claim> claim_;
     std::optional<forwarded> forward_;
--- a/packages/control/jackdawhall/control/passage.hpp
+++ b/packages/control/jackdawhall/control/passage.hpp
@@ -25,8 +25,8 @@
 // The leader proposes claims and releases; any other host says it cannot.
 passage propose_claims(passage p);
 
-// The leader records requests that were running when a server crashed.
-passage propose_suspects(passage p);
+// The leader counts crashes against the requests that were running.
+passage count_crashes(passage p);
 
 // Gives messages of the log and the time to consensus.
 passage run_consensus(passage p);
@@ -34,6 +34,10 @@
 // Applies what was committed to the machine.
 passage apply_committed(passage p);
 
+// The leader records suspects of which it counted more crashes than are on
+// record.
+passage record_suspects(passage p);
+
 // Tells outcomes to those who wait for them.
 passage answer_askers(passage p);
 
--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -13,9 +13,10 @@
     passage p{std::move(s), std::move(in), at, {}, {}, {}, false};
     p = propose_operator_changes(std::move(p));
     p = propose_claims(std::move(p));
-    p = propose_suspects(std::move(p));
+    p = count_crashes(std::move(p));
     p = run_consensus(std::move(p));
     p = apply_committed(std::move(p));
+    p = record_suspects(std::move(p));
     p = answer_askers(std::move(p));
     p = follow_leadership(std::move(p));
     p = distribute(std::move(p));
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -54,6 +54,7 @@
 {
     std::set<server_key> servers_;
     instant last_;
+    std::string pending_; // operation that records it; empty: none
     auto operator<=>(crash_count const&) const = default;
 };
 
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -77,9 +77,12 @@
              r.id_, r.run_, claim_result::unavailable, {}, r.holder_}}});
 }
 
-bool is_known(machine const& m, std::string const& suspect)
+std::int64_t recorded_crashes(machine const& m, std::string const& suspect)
 {
-    return m.records_.contains({"suspect", suspect, 1});
+    auto const held = m.records_.find({"suspect", suspect, 1});
+    if (held == m.records_.end())
+        return 0;
+    return std::get<suspect_v1>(held->second.body_).crashes_;
 }
 
 change_command record_suspect(
@@ -87,8 +90,9 @@
     wall_time wall)
 {
     record_key const key{"suspect", suspect, 1};
+    auto const held = m.records_.find(key);
     revision const expected =
-        is_known(m, suspect) ? m.records_.at(key).revision_ : 0;
+        held == m.records_.end() ? 0 : held->second.revision_;
     suspect_v1 const body{
         static_cast<std::int64_t>(count.servers_.size()),
         (wall + suspect_lifetime).time_since_epoch().count()};
@@ -131,7 +135,7 @@
     return p;
 }
 
-passage propose_suspects(passage p)
+passage count_crashes(passage p)
 {
     crash_report const* report = received_as<crash_report>(p);
     if (!report || !is_leader(p.state_.consensus_))
@@ -141,9 +145,6 @@
         crash_count& count = p.state_.crashes_[suspect];
         count.servers_.insert({report->host_, report->server_id_});
         count.last_ = p.at_.now_;
-        propose_commands(
-            p,
-            {record_suspect(p.state_.machine_, suspect, count, p.at_.wall_)});
     }
     std::erase_if(
         p.state_.crashes_, [&](auto const& count)
@@ -151,6 +152,65 @@
     return p;
 }
 
+namespace
+{
+
+// Removes the first suspect that has expired; the next one at the next beat.
+void remove_expired_suspect(passage& p)
+{
+    std::map<record_key, record> const& records = p.state_.machine_.records_;
+    std::int64_t const now = p.at_.wall_.time_since_epoch().count();
+    auto held = records.lower_bound({"suspect", "", 0});
+    for (; held != records.end() && held->first.kind_ == "suspect"; ++held)
+    {
+        suspect_v1 const* s = std::get_if<suspect_v1>(&held->second.body_);
+        if (!s || s->expires_ms_ >= now)
+            continue;
+        revision const expected = held->second.revision_;
+        std::string const operation =
+            "suspect-expired-" + std::to_string(expected);
+        return propose_commands(
+            p, {change_command{
+                   {operation,
+                    "crash reports",
+                    {{held->first, expected, std::nullopt}}},
+                   p.at_.wall_}});
+    }
+}
+
+} // namespace
+
+passage record_suspects(passage p)
+{
+    if (!is_leader(p.state_.consensus_))
+        return p;
+    for (applied const& outcome : p.applied_)
+    {
+        change_applied const* c = std::get_if<change_applied>(&outcome);
+        for (auto& counted : p.state_.crashes_)
+        {
+            if (c && counted.second.pending_ == c->operation_id_)
+                counted.second.pending_.clear();
+        }
+    }
+    std::vector<command> commands;
+    for (auto& [suspect, count] : p.state_.crashes_)
+    {
+        if (!count.pending_.empty() ||
+            recorded_crashes(p.state_.machine_, suspect) >=
+                static_cast<std::int64_t>(count.servers_.size()))
+            continue;
+        change_command c =
+            record_suspect(p.state_.machine_, suspect, count, p.at_.wall_);
+        count.pending_ = c.change_.operation_id_;
+        commands.push_back(std::move(c));
+    }
+    propose_commands(p, std::move(commands));
+    if (std::holds_alternative<time_passed>(p.input_))
+        remove_expired_suspect(p);
+    return p;
+}
+
 passage answer_askers(passage p)
 {
     bool const leads = is_leader(p.state_.consensus_);
@@ -186,6 +246,8 @@
             p.at_.now_);
     else if (s.allocation_.ready_ && !is_leader(s.consensus_))
         s.allocation_ = stop_allocation(std::move(s.allocation_));
+    if (!is_leader(s.consensus_))
+        s.crashes_.clear();
     return p;
 }
 
--- a/packages/control/jackdawhall/control/replication.cpp
+++ b/packages/control/jackdawhall/control/replication.cpp
@@ -93,6 +93,16 @@
         s.confirmed_ = complete;
 }
 
+bool holds_change(entry_log const& log, log_index first, log_index last)
+{
+    for (log_index i = first; i <= last; ++i)
+    {
+        if (std::holds_alternative<change_command>(log.at(i).command_))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 instant majority_heard(consensus_state const& state, instant now)
@@ -185,8 +195,11 @@
     log_index const reached = reached_by_majority(std::move(matches));
     if (reached <= s.commit_ || reached < l->first_own_)
         return;
+    bool const changes = holds_change(s.log_, s.commit_ + 1, reached);
     s.commit_ = reached;
     deliver_committed(w);
+    if (changes)
+        replicate_all(w, true); // so that followers pass it on at once
 }
 
 void handle(work& w, append_request const& m)
--- /dev/null
+++ b/test/error/journal_damage.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/support/checkers.cpp
@@ -0,0 +1,212 @@
+#include "checkers.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace jackdawhall::test
+{
+
+namespace
+{
+
+std::string key_of(request const& r)
+{
+    return find_header(r.headers_, idempotency_header);
+}
+
+// What tells a caller's request apart from every other one.
+std::string identity(request const& r)
+{
+    std::string const key = key_of(r);
+    return r.path_ + "|" + (key.empty() ? r.body_ : key);
+}
+
+} // namespace
+
+findings check_at_most_once(history const& h, std::string const& path)
+{
+    std::map<std::string, int> runs;
+    for (run_event const& run : h.runs_)
+    {
+        if (run.request_.path_ == path)
+            ++runs[key_of(run.request_)];
+    }
+    findings wrong;
+    for (auto const& [key, count] : runs)
+    {
+        if (count > 1)
+            wrong.push_back(
+                "key " + key + " ran " + std::to_string(count) + " times");
+    }
+    return wrong;
+}
+
+findings check_not_run(history const& h)
+{
+    std::map<std::string, std::size_t> sent;
+    std::map<std::string, std::size_t> refused;
+    for (auto const& one : h.sent_)
+        ++sent[identity(one.second.request_)];
+    for (verdict_event const& v : h.verdicts_)
+    {
+        std::string const id = identity(h.sent_.at(v.request_).request_);
+        if (std::holds_alternative<not_run>(v.verdict_))
+            ++refused[id];
+    }
+    std::set<std::string> ran_ids;
+    for (run_event const& run : h.runs_)
+        ran_ids.insert(identity(run.request_));
+    findings wrong;
+    for (auto const& [id, count] : refused)
+    {
+        if (count == sent.at(id) && ran_ids.contains(id))
+            wrong.push_back("every verdict says not run, yet it ran: " + id);
+    }
+    return wrong;
+}
+
+findings check_rate(
+    history const& h, account_name const& account, double rate,
+    std::int64_t burst, double drift)
+{
+    std::vector<duration> spent;
+    for (token_event const& t : h.tokens_)
+    {
+        if (t.account_ == account)
+            spent.push_back(t.at_);
+    }
+    std::sort(spent.begin(), spent.end());
+    // With x(i) = i - rate * t(i), the worst window ends at i and begins where
+    // x was least.
+    findings wrong;
+    double least = 1e300;
+    double const fast = rate * (1 + drift);
+    for (std::size_t i = 0; i < spent.size(); ++i)
+    {
+        double const t = static_cast<double>(spent[i].count()) / 1e6;
+        least = std::min(least, static_cast<double>(i) - fast * t);
+        double const excess =
+            static_cast<double>(i) + 1 - fast * t - least;
+        if (excess > static_cast<double>(burst) + 1e-6)
+            wrong.push_back(
+                "window that ends at " + std::to_string(t) + " s admits " +
+                std::to_string(excess) + " over rate * length");
+    }
+    return wrong;
+}
+
+findings check_answers(history const& h)
+{
+    findings wrong;
+    for (verdict_event const& v : h.verdicts_)
+    {
+        ran const* r = std::get_if<ran>(&v.verdict_);
+        request const& asked = h.sent_.at(v.request_).request_;
+        if (r && r->answer_.status_ == 200 &&
+            r->answer_.body_ != "echo " + asked.body_)
+            wrong.push_back(
+                "request '" + asked.body_ + "' got '" + r->answer_.body_ +
+                "'");
+    }
+    std::map<std::uint64_t, int> answers;
+    for (verdict_event const& v : h.verdicts_)
+    {
+        if (++answers[v.request_] > 1)
+            wrong.push_back(
+                "request " + std::to_string(v.request_) + " answered twice");
+    }
+    return wrong;
+}
+
+findings check_forwards(history const& h, std::size_t most)
+{
+    findings wrong;
+    for (auto const& [root, count] : h.forwards_)
+    {
+        if (count > most)
+            wrong.push_back(
+                "root " + root + " caused " + std::to_string(count) +
+                " forwards");
+    }
+    return wrong;
+}
+
+findings check_no_reversion(history const& h)
+{
+    findings wrong;
+    for (std::string const& host : h.reversions_)
+        wrong.push_back("the revision of " + host + " went back");
+    return wrong;
+}
+
+findings check_changes(history const& h)
+{
+    std::map<revision, change_event const*> by_revision;
+    std::map<std::string, change_outcome> by_operation;
+    findings wrong;
+    for (auto const& one : h.changes_)
+    {
+        change_event const& c = one.second;
+        if (!c.outcome_ || std::holds_alternative<unknown_outcome>(*c.outcome_))
+            continue;
+        auto const [known, fresh] =
+            by_operation.emplace(c.change_.operation_id_, *c.outcome_);
+        if (!fresh && known->second != *c.outcome_)
+            wrong.push_back(
+                "operation " + c.change_.operation_id_ + " has two outcomes");
+        accepted const* a = std::get_if<accepted>(&*c.outcome_);
+        if (!a)
+            continue;
+        auto const [at, first] = by_revision.emplace(a->revision_, &c);
+        if (!first &&
+            at->second->change_.operation_id_ != c.change_.operation_id_)
+            wrong.push_back(
+                "revision " + std::to_string(a->revision_) +
+                " was given to two operations");
+    }
+    // Real time: whoever is asked after another was answered comes after it.
+    for (auto const& [r, c] : by_revision)
+    {
+        for (auto const& [later, other] : by_revision)
+        {
+            if (later < r && c->answered_ && *c->answered_ < other->asked_)
+                wrong.push_back(
+                    "revision " + std::to_string(later) + " was asked for " +
+                    "after " + std::to_string(r) + " was accepted");
+        }
+    }
+    // Compare and set: the expected revision of a record lies below the
+    // change's own, and no accepted change of the record lies between.
+    std::map<record_key, revision> last;
+    for (auto const& [r, c] : by_revision)
+    {
+        for (edit const& e : c->change_.edits_)
+        {
+            auto const known = last.find(e.key_);
+            if (known != last.end() && e.expected_ < known->second)
+                wrong.push_back(
+                    "revision " + std::to_string(r) + " expected " +
+                    std::to_string(e.expected_) + " though " +
+                    std::to_string(known->second) + " was accepted");
+            last[e.key_] = r;
+        }
+    }
+    return wrong;
+}
+
+findings check_silent_after(
+    history const& h, std::string const& path, duration when)
+{
+    findings wrong;
+    for (run_event const& run : h.runs_)
+    {
+        if (run.request_.path_ == path && run.at_ > when)
+            wrong.push_back(
+                path + " still ran at " +
+                std::to_string(run.at_.count() / 1000) + " ms");
+    }
+    return wrong;
+}
+
+} // namespace jackdawhall::test
--- /dev/null
+++ b/test/support/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/support/memory_fleet.cpp
@@ -0,0 +1,736 @@
+#include "memory_fleet.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace jackdawhall::test
+{
+
+namespace
+{
+
+constexpr wall_time epoch{std::chrono::milliseconds{1'800'000'000'000}};
+
+bool waits_for_disk(control::effect const& e)
+{
+    send const* s = std::get_if<send>(&e);
+    if (!s)
+        return false;
+    message const& m = s->outgoing_.message_;
+    return std::holds_alternative<vote_request>(m) ||
+           std::holds_alternative<vote_response>(m) ||
+           std::holds_alternative<append_request>(m) ||
+           std::holds_alternative<append_response>(m) ||
+           std::holds_alternative<install_snapshot>(m);
+}
+
+bool is_for_calls(message const& m)
+{
+    return std::holds_alternative<renewal_answer>(m) ||
+           std::holds_alternative<configuration_update>(m) ||
+           std::holds_alternative<grant_response>(m) ||
+           std::holds_alternative<claim_response>(m) ||
+           std::holds_alternative<claim_released>(m) ||
+           std::holds_alternative<outcome_request>(m) ||
+           std::holds_alternative<outcome_response>(m) ||
+           std::holds_alternative<forward>(m) ||
+           std::holds_alternative<forward_answer>(m) ||
+           std::holds_alternative<cancel_forward>(m);
+}
+
+} // namespace
+
+void apply_store(control::recovered& disk, control::effect const& e)
+{
+    if (auto const* s = std::get_if<control::store_hard_state>(&e))
+        disk.hard_state_ = s->hard_state_;
+    if (auto const* s = std::get_if<control::store_entries>(&e))
+    {
+        for (log_entry const& entry : s->entries_)
+        {
+            log_index const base = disk.snapshot_.last_index_;
+            if (entry.index_ <= base)
+                continue;
+            if (entry.index_ - base - 1 < disk.entries_.size())
+                disk.entries_.resize(entry.index_ - base - 1);
+            disk.entries_.push_back(entry);
+        }
+    }
+    if (auto const* s = std::get_if<control::store_snapshot>(&e))
+    {
+        disk.snapshot_ = s->snapshot_;
+        disk.hard_state_ = s->hard_state_;
+        disk.entries_ = s->kept_;
+    }
+}
+
+memory_fleet::memory_fleet(fleet_options o)
+    : options_(o), random_(o.seed_), hosts_(o.hosts_)
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+    {
+        sim_host& h = hosts_[i];
+        h.name_ = host(i);
+        double const spread =
+            static_cast<double>(random_.below(2001)) / 1000.0 - 1.0;
+        h.clock_rate_ = 1 + spread * o.clock_error_;
+        h.clock_offset_ = duration{
+            static_cast<std::int64_t>(random_.below(1'000'000'000))};
+        start(i);
+    }
+}
+
+host_name memory_fleet::host(std::size_t i) const
+{
+    return host_name::make("host-" + std::to_string(i)).value();
+}
+
+std::size_t memory_fleet::index_of(host_name const& name) const
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+    {
+        if (hosts_[i].name_ == name)
+            return i;
+    }
+    throw std::out_of_range(name.str());
+}
+
+present memory_fleet::clock_of(sim_host const& h) const
+{
+    auto const elapsed = static_cast<std::int64_t>(
+        static_cast<double>(now_.count()) * h.clock_rate_);
+    return {
+        instant{h.clock_offset_ + duration{elapsed}},
+        epoch + std::chrono::duration_cast<std::chrono::milliseconds>(now_)};
+}
+
+duration memory_fleet::true_time(sim_host const& h, instant at) const
+{
+    double const local =
+        static_cast<double>((at.time_since_epoch() - h.clock_offset_).count());
+    return duration{static_cast<std::int64_t>(local / h.clock_rate_) + 1};
+}
+
+// --- Time ---------------------------------------------------------------------
+
+void memory_fleet::at(duration when, std::function<void()> f)
+{
+    events_.push({std::max(when, now_), ++next_order_, std::move(f)});
+}
+
+void memory_fleet::run_for(duration d)
+{
+    run_until([] { return false; }, d);
+}
+
+bool memory_fleet::run_until(std::function<bool()> const& done, duration most)
+{
+    duration const end = now_ + most;
+    while (!done())
+    {
+        if (events_.empty() || events_.top().at_ > end)
+        {
+            now_ = end;
+            return done();
+        }
+        event next = events_.top();
+        events_.pop();
+        now_ = std::max(now_, next.at_);
+        next.action_();
+    }
+    return true;
+}
+
+// --- Hosts ----------------------------------------------------------------------
+
+void memory_fleet::start(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    if (h.up_)
+        return;
+    h.up_ = true;
+    h.frozen_ = h.stopped_ = false;
+    h.newest_revision_ = 0;
+    calls::settings s;
+    s.self_ = h.name_;
+    std::string const region = "region-" + std::to_string(i % 3);
+    s.location_ = {
+        region_name::make(region).value(),
+        zone_name::make(region + "-a").value()};
+    s.gate_ = {"10.0.0." + std::to_string(i + 1), 7070};
+    s.retries_ = options_.retries_;
+    control::consensus_settings c;
+    c.self_ = h.name_;
+    for (std::size_t k = 0; k < options_.control_hosts_; ++k)
+    {
+        std::size_t const near = (i + k) % options_.control_hosts_;
+        s.control_hosts_.push_back(host(near));
+        c.control_hosts_.push_back(host(k));
+    }
+    instant const now = clock_of(h).now_;
+    h.calls_ = calls::make_state(s, random_source(random_.next()), now);
+    if (is_control(i))
+    {
+        if (!h.disk_)
+        {
+            h.disk_.emplace();
+            h.disk_->self_ = {h.name_, random_.next()};
+        }
+        h.last_store_ = h.synced_ = 0;
+        h.syncing_ = false;
+        h.control_ = control::make_state(
+            c, *h.disk_, random_source(random_.next()), now);
+    }
+    h.timer_due_ = duration{-1};
+    arm(i);
+}
+
+void memory_fleet::kill(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    if (!h.up_)
+        return;
+    h.up_ = false;
+    ++h.life_;
+    h.calls_.reset();
+    h.control_.reset();
+    h.held_.clear();
+    h.while_frozen_.clear();
+    // What was not synced may have reached the disk in part.
+    std::size_t const kept =
+        h.unsynced_.empty() ? 0 : random_.below(h.unsynced_.size() + 1);
+    for (std::size_t k = 0; k < kept; ++k)
+        apply_store(*h.disk_, h.unsynced_[k].effect_);
+    h.unsynced_.clear();
+    for (std::size_t peer = 0; peer < hosts_.size(); ++peer)
+    {
+        if (peer != i)
+            give(
+                peer, calls::input{
+                          calls::peer_lost{h.name_, ~calls::call_number{0}}});
+    }
+}
+
+void memory_fleet::freeze(std::size_t i) { hosts_[i].frozen_ = true; }
+
+void memory_fleet::thaw(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    if (!h.up_ || !h.frozen_)
+        return;
+    h.frozen_ = false;
+    std::deque<node_input> late = std::exchange(h.while_frozen_, {});
+    for (node_input& in : late)
+        give(i, std::move(in));
+    arm(i);
+}
+
+void memory_fleet::lose_disk(std::size_t i)
+{
+    hosts_[i].disk_.reset();
+    hosts_[i].unsynced_.clear();
+}
+
+void memory_fleet::request_stop(std::size_t i)
+{
+    give(i, calls::input{calls::stop_requested{}});
+}
+
+calls::state const& memory_fleet::calls_of(std::size_t i) const
+{
+    return *hosts_.at(i).calls_;
+}
+
+control::state const& memory_fleet::control_of(std::size_t i) const
+{
+    return *hosts_.at(i).control_;
+}
+
+std::optional<std::size_t> memory_fleet::leader() const
+{
+    std::optional<std::size_t> found;
+    term_number newest = 0;
+    for (std::size_t i = 0; i < options_.control_hosts_; ++i)
+    {
+        sim_host const& h = hosts_[i];
+        if (!h.up_ || h.frozen_ || !is_leader(h.control_->consensus_))
+            continue;
+        term_number const term = h.control_->consensus_.hard_state_.term_;
+        if (term >= newest)
+        {
+            newest = term;
+            found = i;
+        }
+    }
+    return found;
+}
+
+// --- Network ---------------------------------------------------------------------
+
+void memory_fleet::cut(std::size_t from, std::size_t to)
+{
+    cuts_.insert({from, to});
+}
+
+void memory_fleet::heal(std::size_t from, std::size_t to)
+{
+    cuts_.erase({from, to});
+}
+
+void memory_fleet::isolate(std::size_t i)
+{
+    for (std::size_t k = 0; k < hosts_.size(); ++k)
+    {
+        if (k != i)
+        {
+            cut(i, k);
+            cut(k, i);
+        }
+    }
+}
+
+void memory_fleet::heal_all() { cuts_.clear(); }
+
+void memory_fleet::transmit(std::size_t from, outgoing out)
+{
+    if (out.to_.empty())
+        return;
+    std::size_t const to = index_of(out.to_);
+    if (forward const* f = std::get_if<forward>(&out.message_))
+        note_forward(*f, from);
+    duration const spread = options_.most_delay_ - options_.least_delay_;
+    duration const delay =
+        from == to
+            ? duration{1}
+            : options_.least_delay_ +
+                  duration{static_cast<std::int64_t>(random_.below(
+                      static_cast<std::uint64_t>(spread.count()) + 1))};
+    // A link keeps the order of its messages.
+    duration& busy = link_busy_[{from, to}];
+    busy = std::max(busy, now_ + delay);
+    std::uint64_t const life = hosts_[to].life_;
+    if (!hosts_[to].up_)
+    {
+        at(now_ + delay,
+           [this, from, out]
+           { give(from, calls::input{calls::undelivered{out}}); });
+        return;
+    }
+    at(busy,
+       [this, from, to, life, out]
+       {
+           if (cuts_.contains({from, to}) || hosts_[to].life_ != life)
+               return;
+           received in{hosts_[from].name_, out.message_};
+           if (is_for_calls(out.message_))
+               give(to, calls::input{std::move(in)});
+           else if (is_control(to))
+               give(to, control::input{std::move(in)});
+       });
+}
+
+void memory_fleet::note_forward(forward const& f, std::size_t from)
+{
+    ++history_.forwards_[f.context_.root_];
+    calls::state const& s = *hosts_[from].calls_;
+    auto const call = s.forwards_.find(f.number_);
+    bool const first_of_root =
+        f.context_.depth_ == 0 && call != s.forwards_.end() &&
+        s.calls_.at(call->second).attempts_ == 1;
+    if (first_of_root && !f.context_.account_.empty())
+        history_.tokens_.push_back({now_, f.context_.account_});
+}
+
+// --- Nodes -----------------------------------------------------------------------
+
+void memory_fleet::give(std::size_t i, node_input in)
+{
+    sim_host& h = hosts_[i];
+    if (!h.up_)
+        return;
+    if (h.frozen_)
+        h.while_frozen_.push_back(std::move(in));
+    else
+        step(i, std::move(in));
+}
+
+void memory_fleet::step(std::size_t i, node_input in)
+{
+    sim_host& h = hosts_[i];
+    present const at = clock_of(h);
+    if (calls::input* c = std::get_if<calls::input>(&in))
+    {
+        calls::node_step s =
+            calls::run(std::move(*h.calls_), std::move(*c), at);
+        h.calls_ = std::move(s.state_);
+        watch_revision(i);
+        for (calls::effect& e : s.effects_)
+            carry_out(i, std::move(e));
+    }
+    else if (h.control_)
+    {
+        control::node_step s = control::run(
+            std::move(*h.control_), std::move(std::get<control::input>(in)),
+            at);
+        h.control_ = std::move(s.state_);
+        for (control::effect& e : s.effects_)
+            carry_out(i, std::move(e));
+        start_sync(i);
+    }
+    arm(i);
+}
+
+void memory_fleet::watch_revision(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    revision const now = h.calls_->configuration_.revision_;
+    if (now < h.newest_revision_)
+        history_.reversions_.push_back(h.name_.str());
+    h.newest_revision_ = now;
+}
+
+void memory_fleet::arm(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    if (!h.up_ || h.frozen_)
+        return;
+    instant due = calls::next_due(*h.calls_);
+    if (h.control_)
+        due = std::min(due, control::next_due(*h.control_));
+    duration const when = std::max(now_ + duration{1}, true_time(h, due));
+    bool const armed = h.timer_due_ > now_ && h.timer_due_ <= when;
+    if (armed)
+        return;
+    h.timer_due_ = when;
+    std::uint64_t const life = h.life_;
+    at(when,
+       [this, i, life, when]
+       {
+           sim_host& waiting = hosts_[i];
+           if (waiting.life_ != life || waiting.timer_due_ != when)
+               return;
+           waiting.timer_due_ = duration{-1};
+           if (waiting.frozen_ || !waiting.up_)
+               return;
+           if (waiting.control_)
+               give(i, control::input{time_passed{}});
+           give(i, calls::input{time_passed{}});
+           arm(i);
+       });
+}
+
+void memory_fleet::carry_out(std::size_t i, calls::effect e)
+{
+    std::visit(
+        overloaded{
+            [&](send& s) { transmit(i, std::move(s.outgoing_)); },
+            [&](note&) {},
+            [&](calls::answer_caller& a)
+            {
+                auto const inner = inner_.find(a.number_);
+                if (inner != inner_.end())
+                {
+                    auto const f = inner->second;
+                    inner_.erase(inner);
+                    return f(a.verdict_);
+                }
+                history_.verdicts_.push_back({now_, a.number_, a.verdict_});
+            },
+            [&](calls::run_on_backend& r) { run_on(i, r); },
+            [&](calls::cancel_run& c)
+            {
+                for (auto& [id, b] : backends_)
+                {
+                    if (b.host_ == i && b.running_.contains(c.run_))
+                        return finish_run(
+                            i, id, c.run_,
+                            calls::broken{doubt_reason::cancelled});
+                }
+            },
+            [&](calls::probe_server& p)
+            {
+                bool const alive = backend_up(p.server_id_);
+                at(now_ + std::chrono::milliseconds(1),
+                   [this, i, p, alive]
+                   {
+                       give(
+                           i, calls::input{
+                                  calls::probed{p.server_id_, alive}});
+                   });
+            },
+            [&](calls::stopped&) { hosts_[i].stopped_ = true; },
+        },
+        e);
+}
+
+void memory_fleet::carry_out(std::size_t i, control::effect e)
+{
+    sim_host& h = hosts_[i];
+    if (h.last_store_ > h.synced_ && waits_for_disk(e))
+        h.held_.push_back({h.last_store_, std::move(e)});
+    else
+        perform(i, std::move(e));
+}
+
+void memory_fleet::perform(std::size_t i, control::effect e)
+{
+    sim_host& h = hosts_[i];
+    std::visit(
+        overloaded{
+            [&](send& s) { transmit(i, std::move(s.outgoing_)); },
+            [&](control::answer_operator& a)
+            {
+                change_event& c = history_.changes_.at(a.number_);
+                c.answered_ = now_;
+                c.outcome_ = a.outcome_;
+            },
+            [&](note&) {},
+            [&](auto& stored)
+            {
+                h.last_store_ = stored.number_;
+                h.unsynced_.push_back({stored.number_, stored});
+            },
+        },
+        e);
+}
+
+void memory_fleet::start_sync(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    if (h.syncing_ || h.last_store_ == h.synced_)
+        return;
+    h.syncing_ = true;
+    control::store_number const number = h.last_store_;
+    std::uint64_t const life = h.life_;
+    at(now_ + options_.sync_time_,
+       [this, i, number, life]
+       {
+           if (hosts_[i].life_ == life)
+               finish_sync(i, number);
+       });
+}
+
+void memory_fleet::finish_sync(std::size_t i, control::store_number number)
+{
+    sim_host& h = hosts_[i];
+    while (!h.unsynced_.empty() && h.unsynced_.front().number_ <= number)
+    {
+        apply_store(*h.disk_, h.unsynced_.front().effect_);
+        h.unsynced_.erase(h.unsynced_.begin());
+    }
+    h.synced_ = number;
+    h.syncing_ = false;
+    while (!h.held_.empty() && h.held_.front().after_ <= number)
+    {
+        control::effect e = std::move(h.held_.front().effect_);
+        h.held_.pop_front();
+        perform(i, std::move(e));
+    }
+    give(i, control::input{control::stores_synced{number}});
+    start_sync(i);
+}
+
+// --- Backend servers -----------------------------------------------------------------
+
+void memory_fleet::add_backend(std::size_t host, backend_options b)
+{
+    sim_backend made;
+    made.options_ = b;
+    made.host_ = host;
+    made.address_ = {
+        "10.0.0." + std::to_string(host + 1),
+        static_cast<std::uint16_t>(9000 + backends_.size())};
+    backends_[b.id_] = made;
+    announce(b.id_);
+}
+
+void memory_fleet::announce(std::string const& id)
+{
+    auto const known = backends_.find(id);
+    if (known == backends_.end() || !known->second.up_)
+        return;
+    sim_backend const& b = known->second;
+    if (b.options_.announces_)
+    {
+        calls::announcement a;
+        a.id_ = id;
+        a.service_ = b.options_.service_;
+        a.address_ = b.address_;
+        a.slots_ = b.options_.slots_;
+        a.connections_ = 500;
+        a.state_ = b.state_;
+        give(b.host_, calls::input{a});
+    }
+    std::uint64_t const life = b.life_;
+    at(now_ + std::chrono::seconds(1),
+       [this, id, life]
+       {
+           auto const still = backends_.find(id);
+           if (still != backends_.end() && still->second.life_ == life)
+               announce(id);
+       });
+}
+
+void memory_fleet::run_on(std::size_t i, calls::run_on_backend const& r)
+{
+    auto const known = backends_.find(r.server_id_);
+    if (known == backends_.end() || !known->second.up_)
+    {
+        at(now_ + duration{50},
+           [this, i, r]
+           {
+               give(
+                   i, calls::input{calls::backend_done{
+                          r.run_, calls::not_connected{}}});
+           });
+        return;
+    }
+    sim_backend& b = known->second;
+    history_.runs_.push_back(
+        {now_, hosts_[i].name_, r.server_id_, r.request_,
+         find_header(r.request_.headers_, request_id_header)});
+    b.running_.emplace(r.run_, r.request_);
+    if (!find_header(r.request_.headers_, "fake-crash").empty())
+    {
+        at(now_ + std::chrono::milliseconds(1),
+           [this, id = r.server_id_] { crash_backend(id); });
+        return;
+    }
+    if (b.options_.fails_)
+    {
+        at(now_ + std::chrono::milliseconds(1),
+           [this, i, id = r.server_id_, run = r.run_]
+           { finish_run(i, id, run, calls::broken{}); });
+        return;
+    }
+    std::string const body = r.request_.body_;
+    auto const finish = [this, i, id = r.server_id_, run = r.run_, body](
+                            std::uint16_t status)
+    {
+        finish_run(
+            i, id, run, calls::answered{answer{status, {}, "echo " + body}});
+    };
+    std::string const sleep =
+        find_header(r.request_.headers_, "fake-sleep-ms");
+    duration const time = sleep.empty()
+                              ? b.options_.service_time_
+                              : std::chrono::milliseconds(std::stol(sleep));
+    std::string const down = b.options_.calls_;
+    if (down.empty())
+    {
+        at(now_ + time, [finish] { finish(200); });
+        return;
+    }
+    std::string const ticket =
+        find_header(r.request_.headers_, ticket_header);
+    at(now_ + time,
+       [this, i, down, ticket, finish]
+       {
+           if (!hosts_[i].up_)
+               return;
+           request inner{"GET", down, {{ticket_header, ticket}}, {}};
+           std::uint64_t const number = ++last_request_;
+           inner_[number] = [finish](verdict const& v)
+           {
+               ran const* done = std::get_if<ran>(&v);
+               finish(done ? done->answer_.status_ : 502);
+           };
+           give(i, calls::input{calls::caller_request{number, inner}});
+       });
+}
+
+void memory_fleet::finish_run(
+    std::size_t i, std::string const& server, calls::call_number run,
+    calls::backend_outcome outcome)
+{
+    auto const known = backends_.find(server);
+    if (known == backends_.end() || known->second.running_.erase(run) == 0)
+        return;
+    give(i, calls::input{calls::backend_done{run, std::move(outcome)}});
+}
+
+void memory_fleet::crash_backend(std::string const& id)
+{
+    auto const known = backends_.find(id);
+    if (known == backends_.end() || !known->second.up_)
+        return;
+    sim_backend& b = known->second;
+    b.up_ = false;
+    ++b.life_;
+    std::map<calls::call_number, request> const lost =
+        std::exchange(b.running_, {});
+    for (auto const& run : lost)
+        give(
+            b.host_,
+            calls::input{calls::backend_done{run.first, calls::broken{}}});
+}
+
+void memory_fleet::restart_backend(
+    std::string const& id, std::string const& new_id)
+{
+    sim_backend b = backends_.at(id);
+    crash_backend(id);
+    backends_.erase(id);
+    b.options_.id_ = new_id;
+    b.up_ = true;
+    b.running_.clear();
+    ++b.life_;
+    backends_[new_id] = b;
+    announce(new_id);
+}
+
+void memory_fleet::set_backend_state(std::string const& id, server_state state)
+{
+    sim_backend& b = backends_.at(id);
+    b.state_ = state;
+    ++b.life_;
+    announce(id);
+}
+
+backend_options& memory_fleet::backend(std::string const& id)
+{
+    return backends_.at(id).options_;
+}
+
+bool memory_fleet::backend_up(std::string const& id) const
+{
+    auto const known = backends_.find(id);
+    return known != backends_.end() && known->second.up_;
+}
+
+// --- Callers and operators ---------------------------------------------------------
+
+std::uint64_t memory_fleet::send_request(std::size_t host, request r)
+{
+    std::uint64_t const number = ++last_request_;
+    history_.sent_[number] = {now_, hosts_.at(host).name_, r};
+    request_host_[number] = host;
+    give(host, calls::input{calls::caller_request{number, std::move(r)}});
+    return number;
+}
+
+void memory_fleet::leave(std::uint64_t request)
+{
+    give(
+        request_host_.at(request), calls::input{calls::caller_left{request}});
+}
+
+std::uint64_t memory_fleet::submit(std::size_t host, change c)
+{
+    std::uint64_t const number = ++last_change_;
+    history_.changes_[number] = {now_, std::nullopt, c, std::nullopt};
+    give(host, control::input{control::operator_change{number, std::move(c)}});
+    return number;
+}
+
+std::optional<verdict> memory_fleet::verdict_of(std::uint64_t request) const
+{
+    for (verdict_event const& v : history_.verdicts_)
+    {
+        if (v.request_ == request)
+            return v.verdict_;
+    }
+    return std::nullopt;
+}
+
+} // namespace jackdawhall::test
--- /dev/null
+++ b/test/support/memory_fleet.hpp
@@ -0,0 +1,244 @@
+// A front end in memory: it drives the nodes of several hosts in virtual time,
+// with a network that delays, drops and cuts, disks that forget what was not
+// synced, hosts that freeze and die, and fake backend servers. It links control
+// and calls only; so could any other front end.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <jackdawhall/calls.hpp>
+#include <jackdawhall/control.hpp>
+
+namespace jackdawhall::test
+{
+
+// --- History ------------------------------------------------------------------
+
+// A run that a fake backend server began.
+struct run_event
+{
+    duration at_{0}; // true time
+    host_name host_;
+    std::string server_;
+    request request_;
+    std::string root_;
+};
+
+// A verdict that a caller got.
+struct verdict_event
+{
+    duration at_{0};
+    std::uint64_t request_ = 0; // as numbered by send_request
+    verdict verdict_;
+};
+
+struct sent_event
+{
+    duration at_{0};
+    host_name host_;
+    request request_;
+};
+
+struct change_event
+{
+    duration asked_{0};
+    std::optional<duration> answered_;
+    change change_;
+    std::optional<change_outcome> outcome_;
+};
+
+// First forward of a call that entered with a key: its token was spent.
+struct token_event
+{
+    duration at_{0};
+    account_name account_;
+};
+
+struct history
+{
+    std::vector<run_event> runs_;
+    std::vector<verdict_event> verdicts_;
+    std::map<std::uint64_t, sent_event> sent_;
+    std::map<std::uint64_t, change_event> changes_;
+    std::vector<token_event> tokens_;
+    std::map<std::string, std::size_t> forwards_; // by root
+    std::vector<std::string> reversions_;         // a revision went back
+};
+
+// --- Fleet --------------------------------------------------------------------
+
+struct fleet_options
+{
+    std::uint64_t seed_ = 1;
+    std::size_t hosts_ = 5;
+    std::size_t control_hosts_ = 3;
+    duration least_delay_ = std::chrono::microseconds(300);
+    duration most_delay_ = std::chrono::milliseconds(3);
+    duration sync_time_ = std::chrono::milliseconds(2);
+    double clock_error_ = 0; // hosts' clocks run up to so much fast or slow
+    std::uint32_t retries_ = 3;
+};
+
+struct backend_options
+{
+    std::string id_;
+    service_name service_;
+    std::uint32_t slots_ = 8;
+    duration service_time_ = std::chrono::milliseconds(2);
+    std::string calls_;              // path called down the chain
+    bool fails_ = false;             // every connection breaks
+    bool announces_ = true;
+};
+
+class memory_fleet
+{
+public:
+    explicit memory_fleet(fleet_options o);
+
+    // --- Time
+    duration now() const { return now_; }
+    void run_for(duration d);
+    // Runs until `done` or until `most` has passed; says whether it was done.
+    bool run_until(std::function<bool()> const& done, duration most);
+    void at(duration when, std::function<void()> f);
+
+    // --- Hosts
+    host_name host(std::size_t i) const;
+    void kill(std::size_t i);
+    void start(std::size_t i);
+    void freeze(std::size_t i);
+    void thaw(std::size_t i);
+    void lose_disk(std::size_t i); // of a host that is down
+    bool is_up(std::size_t i) const { return hosts_.at(i).up_; }
+    void request_stop(std::size_t i);
+    bool stopped(std::size_t i) const { return hosts_.at(i).stopped_; }
+    calls::state const& calls_of(std::size_t i) const;
+    control::state const& control_of(std::size_t i) const;
+    std::optional<std::size_t> leader() const;
+
+    // --- Network: messages from one host to another are dropped silently
+    void cut(std::size_t from, std::size_t to);
+    void heal(std::size_t from, std::size_t to);
+    void isolate(std::size_t i);
+    void heal_all();
+
+    // --- Backend servers
+    void add_backend(std::size_t host, backend_options b);
+    void crash_backend(std::string const& id);
+    void restart_backend(std::string const& id, std::string const& new_id);
+    void set_backend_state(std::string const& id, server_state state);
+    backend_options& backend(std::string const& id);
+    bool backend_up(std::string const& id) const;
+
+    // --- Callers and operators
+    std::uint64_t send_request(std::size_t host, request r);
+    void leave(std::uint64_t request);
+    std::uint64_t submit(std::size_t host, change c);
+    std::optional<verdict> verdict_of(std::uint64_t request) const;
+
+    history const& what_happened() const { return history_; }
+    random_source& random() { return random_; }
+
+private:
+    struct store
+    {
+        control::store_number number_;
+        control::effect effect_;
+    };
+    struct held_effect
+    {
+        control::store_number after_;
+        control::effect effect_;
+    };
+    using node_input = std::variant<calls::input, control::input>;
+    struct sim_host
+    {
+        host_name name_;
+        bool up_ = false;
+        bool frozen_ = false;
+        bool stopped_ = false;
+        std::uint64_t life_ = 0; // raised by each kill
+        double clock_rate_ = 1;
+        duration clock_offset_{0};
+        std::optional<calls::state> calls_;
+        std::optional<control::state> control_;
+        std::optional<control::recovered> disk_;
+        std::vector<store> unsynced_;
+        std::deque<held_effect> held_;
+        control::store_number last_store_ = 0;
+        control::store_number synced_ = 0;
+        bool syncing_ = false;
+        std::deque<node_input> while_frozen_;
+        duration timer_due_{-1};
+        revision newest_revision_ = 0;
+    };
+    struct sim_backend
+    {
+        backend_options options_;
+        std::size_t host_ = 0;
+        bool up_ = true;
+        server_state state_ = server_state::ready;
+        std::uint64_t life_ = 0;
+        std::map<calls::call_number, request> running_;
+        endpoint address_;
+    };
+    struct event
+    {
+        duration at_;
+        std::uint64_t order_;
+        std::function<void()> action_;
+        bool operator>(event const& other) const
+        {
+            return std::pair(at_, order_) > std::pair(other.at_, other.order_);
+        }
+    };
+
+    bool is_control(std::size_t i) const { return i < options_.control_hosts_; }
+    std::size_t index_of(host_name const& name) const;
+    present clock_of(sim_host const& h) const;
+    duration true_time(sim_host const& h, instant at) const;
+
+    void give(std::size_t i, node_input in);
+    void step(std::size_t i, node_input in);
+    void arm(std::size_t i);
+    void carry_out(std::size_t i, calls::effect e);
+    void carry_out(std::size_t i, control::effect e);
+    void perform(std::size_t i, control::effect e);
+    void start_sync(std::size_t i);
+    void finish_sync(std::size_t i, control::store_number number);
+    void transmit(std::size_t from, outgoing out);
+    void note_forward(forward const& f, std::size_t from);
+    void run_on(std::size_t i, calls::run_on_backend const& r);
+    void finish_run(
+        std::size_t i, std::string const& server, calls::call_number run,
+        calls::backend_outcome outcome);
+    void announce(std::string const& id);
+    void watch_revision(std::size_t i);
+
+    fleet_options options_;
+    random_source random_;
+    duration now_{std::chrono::seconds(1)};
+    std::uint64_t next_order_ = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    std::vector<sim_host> hosts_;
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    std::map<std::pair<std::size_t, std::size_t>, duration> link_busy_;
+    std::map<std::string, sim_backend> backends_;
+    std::uint64_t last_request_ = 0;
+    std::map<std::uint64_t, std::size_t> request_host_;
+    std::map<std::uint64_t, std::function<void(verdict const&)>> inner_;
+    std::uint64_t last_change_ = 0;
+    history history_;
+};
+
+// Stores of a disk, applied in order to what it held.
+void apply_store(control::recovered& disk, control::effect const& e);
+
+} // namespace jackdawhall::test
