--- a/test/invariants/schedule.cpp
+++ b/test/invariants/schedule.cpp
@@ -266,14 +266,19 @@
             std::size_t const at = random_.below(control_hosts);
             if (!fleet_.is_up(at))
                 continue;
+            // Now and then an operator resends an earlier change, as it was.
             std::string const operation =
-                "op" + std::to_string(operations_ / (1 + random_.below(2)));
+                name + "-op" +
+                std::to_string(operations_ / (1 + random_.below(2)));
             ++operations_;
-            changes_.push_back(fleet_.submit(
-                at, {operation + "-" + name,
-                     "operator",
-                     {put_account(
-                         name, static_cast<double>(operations_), 1, seen)}}));
+            change const fresh{
+                operation,
+                "operator",
+                {put_account(
+                    name, static_cast<double>(operations_), 1, seen)}};
+            change const& sent =
+                submitted_.try_emplace(operation, fresh).first->second;
+            changes_.push_back(fleet_.submit(at, sent));
         }
         for (std::uint64_t const number : changes_)
         {
@@ -346,6 +351,7 @@
     std::vector<request> payments_;
     std::map<std::string, revision> seen_;
     std::vector<std::uint64_t> changes_;
+    std::map<std::string, change> submitted_; // by operation id
     std::vector<std::uint64_t> withdrawals_;
     std::vector<std::string> backend_names_{
         name_of_backend(0), name_of_backend(1), name_of_backend(2),
