--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -28,6 +28,9 @@
 void end_grants(bucket& b, account_limits const& limits, instant now)
 {
     accrue(b, limits, now);
+    if (now < b.tended_ + tend_interval)
+        return;
+    b.tended_ = now;
     std::erase_if(
         b.grants_,
         [&](auto const& held)
--- a/packages/control/jackdawhall/control/allocate_grants.hpp
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -24,6 +24,9 @@
 inline constexpr duration grant_length = std::chrono::seconds(2);
 // A holder that asked within this time counts as one to share with.
 inline constexpr duration asker_lifetime = std::chrono::seconds(1);
+// Ended grants are looked for this often; until then they still occupy the
+// bucket, which is the safe side.
+inline constexpr duration tend_interval = std::chrono::milliseconds(50);
 // When an asker may try again whose tokens lie with other holders.
 inline constexpr duration busy_retry = std::chrono::milliseconds(20);
 
@@ -46,6 +49,7 @@
     std::int64_t outstanding_ = 0; // tokens
     std::map<std::uint64_t, live_grant> grants_;
     std::map<host_name, instant> askers_;
+    instant tended_; // when ended grants were last looked for
     auto operator<=>(bucket const&) const = default;
 };
 
--- a/packages/control/jackdawhall/control/apply_claim.cpp
+++ b/packages/control/jackdawhall/control/apply_claim.cpp
@@ -43,6 +43,7 @@
         held_claim& granted = m.claims_[*made][c.id_];
         granted = {c.body_hash_, c.run_, c.holder_};
         held = &granted;
+        ++m.claim_count_;
     }
     response.holder_ = held->holder_;
     if (held->run_ == c.run_)
@@ -71,7 +72,10 @@
     {
         auto const held = at->second.find(c.id_);
         if (held != at->second.end() && held->second.run_ == c.run_)
+        {
             at->second.erase(held);
+            --m.claim_count_;
+        }
         if (at->second.empty())
             m.claims_.erase(at);
     }
--- a/packages/control/jackdawhall/control/machine.cpp
+++ b/packages/control/jackdawhall/control/machine.cpp
@@ -9,8 +9,10 @@
 void add_claim(machine& m, claim const& c)
 {
     std::optional<wall_time> const made = uuid_time(c.id_.key_);
-    if (made)
-        m.claims_[*made][c.id_] = {c.body_hash_, c.run_, c.holder_};
+    if (!made)
+        return;
+    m.claims_[*made][c.id_] = {c.body_hash_, c.run_, c.holder_};
+    ++m.claim_count_;
 }
 
 } // namespace
--- a/packages/control/jackdawhall/control/machine.hpp
+++ b/packages/control/jackdawhall/control/machine.hpp
@@ -47,6 +47,7 @@
     std::deque<past_change> history_;                // oldest first
     // By the time in the key, so that old ones are dropped from the front.
     std::map<wall_time, std::map<claim_id, held_claim>> claims_;
+    std::size_t claim_count_ = 0;
     wall_time claims_horizon_; // keys older than this are refused
     auto operator<=>(machine const&) const = default;
 };
--- a/packages/control/jackdawhall/control/run_consensus.cpp
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -1,5 +1,6 @@
 #include <jackdawhall/control/passage.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace jackdawhall::control
@@ -106,8 +107,11 @@
 {
     consensus_state& c = p.state_.consensus_;
     std::size_t const held = c.delivered_ - c.log_.base_index();
-    std::size_t const most =
-        c.settings_.snapshot_entries_ + c.settings_.trailing_entries_;
+    // A snapshot costs time in step with the claims in it, so that a larger
+    // ledger is written less often.
+    std::size_t const interval =
+        std::max(c.settings_.snapshot_entries_, p.state_.machine_.claim_count_);
+    std::size_t const most = interval + c.settings_.trailing_entries_;
     if (held < most)
         return p;
     snapshot taken = take_snapshot(
--- a/packages/daemon/jackdawhall/daemon/metrics.cpp
+++ b/packages/daemon/jackdawhall/daemon/metrics.cpp
@@ -139,7 +139,7 @@
         expose_one(
             out, "knowledge_age_seconds", "gauge",
             static_cast<double>(age->count()) * microseconds);
-    expose_one(out, "claims_held_times", "gauge", s.machine_.claims_.size());
+    expose_one(out, "claims_held", "gauge", s.machine_.claim_count_);
     expose_one(out, "records", "gauge", s.machine_.records_.size());
     expose_one(
         out, "subscribers", "gauge", s.distribution_.subscribers_.size());
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -2,7 +2,6 @@
 
 #include <jackdawhall/loop/socket_options.hpp>
 
-
 namespace jackdawhall::loop
 {
 
--- a/test/correctness/call_path.cpp
+++ b/test/correctness/call_path.cpp
@@ -56,7 +56,8 @@
     set_up_usual(fleet, 5);
     request wrong = keyed("GET", "/plans", "acme");
     wrong.headers_.at(0).value_.back() = 'b';
-    request forged{"GET", "/plans", {{ticket_header, std::string(32, '0')}}, {}};
+    request forged{
+        "GET", "/plans", {{ticket_header, std::string(32, '0')}}, {}};
     std::uint64_t const none = fleet.send_request(0, {"GET", "/plans", {}, {}});
     std::uint64_t const bad = fleet.send_request(1, wrong);
     std::uint64_t const ticket = fleet.send_request(2, forged);
@@ -93,8 +94,8 @@
 {
     memory_fleet fleet({});
     set_up_usual(fleet, 5);
-    request slow = with_header(
-        keyed("GET", "/plans", "acme"), "fake-sleep-ms", "5000");
+    request slow =
+        with_header(keyed("GET", "/plans", "acme"), "fake-sleep-ms", "5000");
     slow = with_header(slow, deadline_header, "200");
     duration const began = fleet.now();
     std::uint64_t const n = fleet.send_request(0, slow);
@@ -119,3 +120,29 @@
     CHECK(fleet.verdict_of(first) == fleet.verdict_of(second));
     CHECK(fleet.what_happened().runs_.size() == 1);
 }
+
+TEST_CASE("a late answer to a former run of a daemon meets no later call")
+{
+    memory_fleet fleet({});
+    set_up_usual(fleet, 5);
+    auto const send_slow = [&](std::string const& body, std::string const& ms)
+    {
+        return fleet.send_request(
+            4, with_header(
+                   keyed("GET", "/plans", "acme", body), "fake-sleep-ms", ms));
+    };
+    fleet.kill(4);
+    fleet.start(4);
+    fleet.run_for(3s);
+    send_slow("first", "900");
+    fleet.run_for(300ms);
+    REQUIRE(fleet.what_happened().runs_.size() == 1);
+    fleet.kill(4);
+    fleet.start(4);
+    fleet.run_for(200ms);
+    std::uint64_t const later = send_slow("later", "700");
+    fleet.run_for(3s);
+    ran const r = std::get<ran>(fleet.verdict_of(later).value());
+    CHECK(r.answer_.body_ == "echo later");
+    CHECK(check_answers(fleet.what_happened()).empty());
+}
--- a/test/correctness/claims_once.cpp
+++ b/test/correctness/claims_once.cpp
@@ -72,6 +72,30 @@
     CHECK(fleet.what_happened().runs_.size() == 1);
 }
 
+TEST_CASE("a payment whose connection broke is in doubt and never runs again")
+{
+    memory_fleet fleet({});
+    set_up_usual(fleet, 5);
+    for (char const* id : {"payments-1", "payments-3"})
+        fleet.backend(id).fails_ = true;
+    std::string const key = fresh_uuid(fleet);
+    std::uint64_t const first = fleet.send_request(0, payment(key));
+    fleet.run_for(2s);
+    CHECK(
+        std::get<may_have_run>(fleet.verdict_of(first).value()).reason_ ==
+        doubt_reason::connection_lost);
+    for (char const* id : {"payments-1", "payments-3"})
+        fleet.backend(id).fails_ = false;
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        std::uint64_t const again = fleet.send_request(i, payment(key));
+        fleet.run_for(4s);
+        CHECK(std::holds_alternative<may_have_run>(
+            fleet.verdict_of(again).value()));
+    }
+    CHECK(fleet.what_happened().runs_.size() == 1);
+}
+
 TEST_CASE("a request proven not to have run may be sent again under its key")
 {
     memory_fleet fleet({});
--- a/test/correctness/decisions_alone.cpp
+++ b/test/correctness/decisions_alone.cpp
@@ -57,8 +57,10 @@
         calls_node = std::move(up.state_);
         std::deque<control::input> inputs{time_passed{}};
         each_message(
-            up.effects_, [&](message const& m)
-            { inputs.push_back(received{self, m}); });
+            up.effects_,
+            [&](message const& m) {
+                inputs.push_back(received{self, m});
+            });
         while (!inputs.empty())
         {
             control::node_step step =
@@ -79,14 +81,14 @@
                 step.effects_,
                 [&](message const& m)
                 {
-                    calls_node = calls::run(
-                                     std::move(calls_node),
-                                     received{self, m}, at)
-                                     .state_;
+                    calls_node =
+                        calls::run(std::move(calls_node), received{self, m}, at)
+                            .state_;
                 });
         }
     }
     bool const fresh = calls_node.configuration_.fresh_until_.has_value();
-    std::printf("fresh without any front end library: %s\n", fresh ? "yes" : "no");
+    std::printf(
+        "fresh without any front end library: %s\n", fresh ? "yes" : "no");
     return fresh ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/test/correctness/lost_disk.cpp
+++ b/test/correctness/lost_disk.cpp
@@ -97,7 +97,8 @@
     {
         std::uint64_t const n = fleet.submit(
             fleet.leader().value(),
-            {"op" + std::to_string(i), "anne",
+            {"op" + std::to_string(i),
+             "anne",
              {put_account("acme", 1, 1, static_cast<revision>(i))}});
         if (i % 100 == 0)
         {
@@ -107,8 +108,8 @@
     }
     fleet.run_for(2s);
     CHECK(
-        fleet.control_of(fleet.leader().value())
-            .consensus_.log_.base_index() > 0);
+        fleet.control_of(fleet.leader().value()).consensus_.log_.base_index() >
+        0);
     fleet.start(behind);
     fleet.run_for(5s);
     CHECK(fleet.control_of(behind).machine_.revision_ == 5600);
--- a/test/correctness/records_change.cpp
+++ b/test/correctness/records_change.cpp
@@ -59,8 +59,8 @@
     settle(fleet, 5);
     route_v1 bad = repeatable_route("no-slash", "plans");
     change_outcome const outcome = submit_and_wait(
-        fleet, {"op-1", "anne", {put_account("acme", 1, 1),
-                                 put_route("r", bad)}});
+        fleet,
+        {"op-1", "anne", {put_account("acme", 1, 1), put_route("r", bad)}});
     CHECK(std::holds_alternative<rejected>(outcome));
     CHECK(fleet.control_of(0).machine_.records_.empty());
 }
--- a/test/correctness/retries_bounded.cpp
+++ b/test/correctness/retries_bounded.cpp
@@ -31,8 +31,7 @@
         {
             backend_options b;
             b.id_ = "s" + std::to_string(i) + "-" + std::to_string(twin);
-            b.service_ =
-                service_name::make("s" + std::to_string(i)).value();
+            b.service_ = service_name::make("s" + std::to_string(i)).value();
             b.fails_ = i + 1 == depth;
             if (i + 1 < depth)
                 b.calls_ = "/s" + std::to_string(i + 1);
@@ -44,7 +43,8 @@
 
 } // namespace
 
-TEST_CASE("a chain of five with a failing end spends at most the root's retries")
+TEST_CASE(
+    "a chain of five with a failing end spends at most the root's retries")
 {
     memory_fleet fleet({});
     set_up_chain(fleet);
--- a/test/correctness/server_leaves.cpp
+++ b/test/correctness/server_leaves.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-std::size_t runs_after(
-    memory_fleet const& fleet, std::string const& server, duration when)
+std::size_t
+runs_after(memory_fleet const& fleet, std::string const& server, duration when)
 {
     std::size_t count = 0;
     for (run_event const& run : fleet.what_happened().runs_)
--- a/test/error/codec.cpp
+++ b/test/error/codec.cpp
@@ -17,8 +17,9 @@
     record const route{
         {"route", "plans", 1},
         5,
-        route_v1{"GET", "/plans", literal<service_name>("plans"), 3, false,
-                 true, 250}};
+        route_v1{
+            "GET", "/plans", literal<service_name>("plans"), 3, false, true,
+            250}};
     change const c{
         "op",
         "anne",
@@ -31,17 +32,32 @@
     forward_answer a{9, ran{{200, {{"c", "d"}}, "body"}}, 2, 4, 5, 6, true};
     return {
         vote_request{3, v, v, 4, 2, true},
-        append_request{3, host, 4, 2,
-                       {{5, 3, change_command{c, {}}},
-                        {6, 3, claim_command{{}, "h", "r", host, {}}},
-                        {7, 3, voters_command{{v}, {}}},
-                        {8, 3, no_op{}}},
-                       6, -1, 8, 9, duration{10}, true},
-        install_snapshot{3, host, snapshot{1, 1, {v}, 2, 0, {route, unknown}},
-                         4},
-        renewal_answer{1, 2, duration{3}, true,
-                       configuration_update{0, 5, true, {route, unknown}, {}},
-                       host, 8, {}},
+        append_request{
+            3,
+            host,
+            4,
+            2,
+            {{5, 3, change_command{c, {}}},
+             {6, 3, claim_command{{}, "h", "r", host, {}}},
+             {7, 3, voters_command{{v}, {}}},
+             {8, 3, no_op{}}},
+            6,
+            -1,
+            8,
+            9,
+            duration{10},
+            true},
+        install_snapshot{
+            3, host, snapshot{1, 1, {v}, 2, 0, {route, unknown}}, 4},
+        renewal_answer{
+            1,
+            2,
+            duration{3},
+            true,
+            configuration_update{0, 5, true, {route, unknown}, {}},
+            host,
+            8,
+            {}},
         forward{9, literal<service_name>("plans"), "s", context, "f", r},
         a,
         forward_answer{9, not_run{refusal_reason::overloaded, duration{5}}},
--- a/test/error/operators_input.cpp
+++ b/test/error/operators_input.cpp
@@ -9,9 +9,8 @@
 namespace
 {
 
-json const route{
-    {"kind", "route"},   {"name", "plans"},   {"path", "/plans"},
-    {"service", "plans"}, {"rank", 3},        {"repeatable", true}};
+json const route{{"kind", "route"},    {"name", "plans"}, {"path", "/plans"},
+                 {"service", "plans"}, {"rank", 3},       {"repeatable", true}};
 
 bool is_refused(json const& value)
 {
@@ -32,13 +31,34 @@
 TEST_CASE("wrong fields are refused")
 {
     json value = route;
-    SECTION("unknown field") { value["pth"] = "/x"; }
-    SECTION("wrong type") { value["rank"] = "3"; }
-    SECTION("rank out of range") { value["rank"] = 10; }
-    SECTION("missing") { value.erase("service"); }
-    SECTION("unknown kind") { value["kind"] = "rout"; }
-    SECTION("unknown schema") { value["schema"] = 4; }
-    SECTION("no name of a service") { value["service"] = "Plans!"; }
+    SECTION("unknown field")
+    {
+        value["pth"] = "/x";
+    }
+    SECTION("wrong type")
+    {
+        value["rank"] = "3";
+    }
+    SECTION("rank out of range")
+    {
+        value["rank"] = 10;
+    }
+    SECTION("missing")
+    {
+        value.erase("service");
+    }
+    SECTION("unknown kind")
+    {
+        value["kind"] = "rout";
+    }
+    SECTION("unknown schema")
+    {
+        value["schema"] = 4;
+    }
+    SECTION("no name of a service")
+    {
+        value["service"] = "Plans!";
+    }
     CHECK(is_refused(value));
 }
 
@@ -56,8 +76,10 @@
 TEST_CASE("a change comes back from its JSON, and outcomes too")
 {
     change const c{
-        "op", "anne", {{{"account", "a", 1}, 3, account_v1{1500, 2}},
-                       {{"account", "b", 1}, 4, std::nullopt}}};
+        "op",
+        "anne",
+        {{{"account", "a", 1}, 3, account_v1{1500, 2}},
+         {{"account", "b", 1}, 4, std::nullopt}}};
     CHECK(wire::change_from_json(wire::to_json(c)).value() == c);
     for (change_outcome const& o :
          {change_outcome{accepted{4}},
@@ -71,9 +93,11 @@
 {
     random_source random(5);
     std::string const good =
-        json{{"operation_id", "a"}, {"author", "b"},
-             {"edits", json::array({json{{"expected_revision", 0},
-                                         {"record", route}}})}}
+        json{
+            {"operation_id", "a"},
+            {"author", "b"},
+            {"edits",
+             json::array({json{{"expected_revision", 0}, {"record", route}}})}}
             .dump();
     int refused = 0;
     for (int i = 0; i < 3000; ++i)
--- a/test/error/settings.cpp
+++ b/test/error/settings.cpp
@@ -93,21 +93,28 @@
     example const e = GENERATE(
         example{"zone: quebec-a", "zone: Quebec A", 3, "zone"},
         example{"[call, control]", "[call, control, extra]", 4, "roles"},
-        example{"callers: 127.0.1.1:8080", "callers: localhost:8080", 6,
-                "listen.callers"},
-        example{"callers: 127.0.1.1:8080", "callers: 127.0.1.1:99999", 6,
-                "listen.callers"},
-        example{"retries_per_request: 3", "retries_per_request: 3s", 15,
-                "retries_per_request"},
-        example{"retries_per_request: 3", "retries_per_requst: 3", 15,
-                "retries_per_requst"},
+        example{
+            "callers: 127.0.1.1:8080", "callers: localhost:8080", 6,
+            "listen.callers"},
+        example{
+            "callers: 127.0.1.1:8080", "callers: 127.0.1.1:99999", 6,
+            "listen.callers"},
+        example{
+            "retries_per_request: 3", "retries_per_request: 3s", 15,
+            "retries_per_request"},
+        example{
+            "retries_per_request: 3", "retries_per_requst: 3", 15,
+            "retries_per_requst"},
         example{"level: info", "level: loud", 14, "log.level"},
-        example{"fleet_secret_file: secret", "fleet_secret_file: short", 12,
-                "fleet_secret_file"},
-        example{"fleet_secret_file: secret", "fleet_secret_file: none", 12,
-                "fleet_secret_file"},
-        example{"operators: 127.0.1.1:9090", "operators: 127.0.1.1:8080", 6,
-                "listen"});
+        example{
+            "fleet_secret_file: secret", "fleet_secret_file: short", 12,
+            "fleet_secret_file"},
+        example{
+            "fleet_secret_file: secret", "fleet_secret_file: none", 12,
+            "fleet_secret_file"},
+        example{
+            "operators: 127.0.1.1:9090", "operators: 127.0.1.1:8080", 6,
+            "listen"});
     problem const p = only_problem(replaced(e.from_, e.to_), folder.path_);
     CHECK(p.line_ == e.line_);
     CHECK(p.key_ == e.key_);
--- a/test/failure/forwarder.cpp
+++ b/test/failure/forwarder.cpp
@@ -51,8 +51,7 @@
     if (open)
         return pump_on(p);
     if (!p->pair_->silent_)
-        g_io_stream_close(
-            G_IO_STREAM(p->pair_->out_.get()), nullptr, nullptr);
+        g_io_stream_close(G_IO_STREAM(p->pair_->out_.get()), nullptr, nullptr);
     delete p;
 }
 
@@ -62,8 +61,8 @@
         p->from_, p->buffer_, 65536, G_PRIORITY_DEFAULT, nullptr, read_done, p);
 }
 
-gboolean accept_one(
-    GSocketService*, GSocketConnection* connection, GObject*, gpointer)
+gboolean
+accept_one(GSocketService*, GSocketConnection* connection, GObject*, gpointer)
 {
     GSocketConnection* out = g_socket_client_connect(
         client.get(), G_SOCKET_CONNECTABLE(target.get()), nullptr, nullptr);
--- a/test/invariants/invariants.cpp
+++ b/test/invariants/invariants.cpp
@@ -28,10 +28,8 @@
                 rc::gen::inRange(
                     0, static_cast<int>(test::fault_kind::last_) + 1),
                 [](int kind) { return static_cast<test::fault_kind>(kind); })),
-        rc::gen::set(
-            &test::fault::host_, rc::gen::inRange<std::size_t>(0, 6)),
-        rc::gen::set(
-            &test::fault::other_, rc::gen::inRange<std::size_t>(0, 6)),
+        rc::gen::set(&test::fault::host_, rc::gen::inRange<std::size_t>(0, 6)),
+        rc::gen::set(&test::fault::other_, rc::gen::inRange<std::size_t>(0, 6)),
         rc::gen::set(
             &test::fault::begins_,
             rc::gen::map(
@@ -58,7 +56,8 @@
         {
             bool const changes = FLAGS_profile == "changes";
             auto const faults = *rc::gen::resize(
-                changes ? 30 : 8, rc::gen::container<std::vector<test::fault>>(any_fault()));
+                changes ? 30 : 8,
+                rc::gen::container<std::vector<test::fault>>(any_fault()));
             for (test::fault const& f : faults)
                 RC_LOG() << test::to_text(f) << "\n";
             test::findings const wrong = test::run_schedule(
@@ -88,7 +87,7 @@
     std::uint64_t passed = 0;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i)
         passed += passes(FLAGS_first + i) ? 1 : 0;
-    std::cout << "schedules: " << passed << " passed, "
-              << FLAGS_seeds - passed << " failed" << std::endl;
+    std::cout << "schedules: " << passed << " passed, " << FLAGS_seeds - passed
+              << " failed" << std::endl;
     return passed == FLAGS_seeds ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/test/invariants/schedule.cpp
+++ b/test/invariants/schedule.cpp
@@ -58,8 +58,7 @@
 class schedule
 {
 public:
-    schedule(
-        profile load, std::uint64_t seed, std::vector<fault> const& faults)
+    schedule(profile load, std::uint64_t seed, std::vector<fault> const& faults)
         : load_(load), control_hosts_(control_hosts_of(load)),
           fleet_(options_for(load, seed)), random_(seed * 7919 + 1)
     {
@@ -126,8 +125,8 @@
     {
         // With two of three disks lost nothing could be kept; that is a
         // disaster and not a fault that the fleet is built for.
-        bool const may_lose = lose_disk && i < control_hosts_ &&
-                              all_vote(fleet_, control_hosts_);
+        bool const may_lose =
+            lose_disk && i < control_hosts_ && all_vote(fleet_, control_hosts_);
         fleet_.kill(i);
         if (may_lose)
             fleet_.lose_disk(i);
@@ -261,8 +260,8 @@
         if (payments_.empty())
             return;
         std::size_t const newest = payments_.size() - 1;
-        std::size_t const back = random_.below(std::min<std::size_t>(
-            payments_.size(), 8));
+        std::size_t const back =
+            random_.below(std::min<std::size_t>(payments_.size(), 8));
         send(payments_[newest - back]);
     }
 
@@ -284,16 +283,14 @@
             change const fresh{
                 operation,
                 "operator",
-                {put_account(
-                    name, static_cast<double>(operations_), 1, seen)}};
+                {put_account(name, static_cast<double>(operations_), 1, seen)}};
             change const& sent =
                 submitted_.try_emplace(operation, fresh).first->second;
             changes_.push_back(fleet_.submit(at, sent));
         }
         for (std::uint64_t const number : changes_)
         {
-            change_event const& c =
-                fleet_.what_happened().changes_.at(number);
+            change_event const& c = fleet_.what_happened().changes_.at(number);
             if (!c.outcome_ || c.change_.edits_[0].key_.name_ != name)
                 continue;
             if (accepted const* a = std::get_if<accepted>(&*c.outcome_))
@@ -375,17 +372,17 @@
 std::string to_text(fault const& f)
 {
     static constexpr char const* names[] = {
-        "kill", "kill_and_lose_disk", "freeze", "isolate", "cut_one_way",
-        "cut_both_ways", "kill_leader", "freeze_leader", "isolate_leader",
-        "crash_backend"};
+        "kill",           "kill_and_lose_disk", "freeze",      "isolate",
+        "cut_one_way",    "cut_both_ways",      "kill_leader", "freeze_leader",
+        "isolate_leader", "crash_backend"};
     return std::string(names[static_cast<std::size_t>(f.kind_)]) + " host " +
-           std::to_string(f.host_) + " (" + std::to_string(f.other_) +
-           ") at " + std::to_string(f.begins_.count() / 1000) + " ms for " +
+           std::to_string(f.host_) + " (" + std::to_string(f.other_) + ") at " +
+           std::to_string(f.begins_.count() / 1000) + " ms for " +
            std::to_string(f.lasts_.count() / 1000) + " ms";
 }
 
-findings run_schedule(
-    profile load, std::uint64_t seed, std::vector<fault> const& faults)
+findings
+run_schedule(profile load, std::uint64_t seed, std::vector<fault> const& faults)
 {
     schedule s(load, seed, faults);
     return s.run();
--- a/test/support/checkers.cpp
+++ b/test/support/checkers.cpp
@@ -86,8 +86,7 @@
     {
         double const t = static_cast<double>(spent[i].count()) / 1e6;
         least = std::min(least, static_cast<double>(i) - fast * t);
-        double const excess =
-            static_cast<double>(i) + 1 - fast * t - least;
+        double const excess = static_cast<double>(i) + 1 - fast * t - least;
         if (excess > static_cast<double>(burst) + 1e-6)
             wrong.push_back(
                 "window that ends at " + std::to_string(t) + " s admits " +
@@ -106,8 +105,7 @@
         if (r && r->answer_.status_ == 200 &&
             r->answer_.body_ != "echo " + asked.body_)
             wrong.push_back(
-                "request '" + asked.body_ + "' got '" + r->answer_.body_ +
-                "'");
+                "request '" + asked.body_ + "' got '" + r->answer_.body_ + "'");
     }
     std::map<std::uint64_t, int> answers;
     for (verdict_event const& v : h.verdicts_)
@@ -175,8 +173,7 @@
         if (!a)
             continue;
         auto const [at, first] = by_revision.emplace(
-            a->revision_,
-            operation{first_asked.at(id), *c.answered_, &c});
+            a->revision_, operation{first_asked.at(id), *c.answered_, &c});
         at->second.answered_ = std::min(at->second.answered_, *c.answered_);
         if (!first && at->second.event_->change_.operation_id_ != id)
             wrong.push_back(
@@ -212,8 +209,8 @@
     return wrong;
 }
 
-findings check_silent_after(
-    history const& h, std::string const& path, duration when)
+findings
+check_silent_after(history const& h, std::string const& path, duration when)
 {
     findings wrong;
     for (run_event const& run : h.runs_)
--- a/test/support/checkers.hpp
+++ b/test/support/checkers.hpp
@@ -39,7 +39,7 @@
 findings check_changes(history const& h);
 
 // No run that began after `when` carried the account's request.
-findings check_silent_after(
-    history const& h, std::string const& path, duration when);
+findings
+check_silent_after(history const& h, std::string const& path, duration when);
 
 } // namespace jackdawhall::test
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -74,8 +74,8 @@
         double const spread =
             static_cast<double>(random_.below(2001)) / 1000.0 - 1.0;
         h.clock_rate_ = 1 + spread * o.clock_error_;
-        h.clock_offset_ = duration{
-            static_cast<std::int64_t>(random_.below(1'000'000'000))};
+        h.clock_offset_ =
+            duration{static_cast<std::int64_t>(random_.below(1'000'000'000))};
         start(i);
     }
 }
@@ -111,7 +111,8 @@
     return duration{static_cast<std::int64_t>(local / h.clock_rate_) + 1};
 }
 
-// --- Time ---------------------------------------------------------------------
+// --- Time
+// ---------------------------------------------------------------------
 
 void memory_fleet::at(duration when, std::function<void()> f)
 {
@@ -141,7 +142,8 @@
     return true;
 }
 
-// --- Hosts ----------------------------------------------------------------------
+// --- Hosts
+// ----------------------------------------------------------------------
 
 void memory_fleet::start(std::size_t i)
 {
@@ -211,7 +213,10 @@
     }
 }
 
-void memory_fleet::freeze(std::size_t i) { hosts_[i].frozen_ = true; }
+void memory_fleet::freeze(std::size_t i)
+{
+    hosts_[i].frozen_ = true;
+}
 
 void memory_fleet::thaw(std::size_t i)
 {
@@ -265,7 +270,8 @@
     return found;
 }
 
-// --- Network ---------------------------------------------------------------------
+// --- Network
+// ---------------------------------------------------------------------
 
 void memory_fleet::cut(std::size_t from, std::size_t to)
 {
@@ -289,7 +295,10 @@
     }
 }
 
-void memory_fleet::heal_all() { cuts_.clear(); }
+void memory_fleet::heal_all()
+{
+    cuts_.clear();
+}
 
 void memory_fleet::transmit(std::size_t from, outgoing out)
 {
@@ -300,19 +309,17 @@
         note_forward(*f, from);
     duration const spread = options_.most_delay_ - options_.least_delay_;
     duration const delay =
-        from == to
-            ? duration{1}
-            : options_.least_delay_ +
-                  duration{static_cast<std::int64_t>(random_.below(
-                      static_cast<std::uint64_t>(spread.count()) + 1))};
+        from == to ? duration{1}
+                   : options_.least_delay_ +
+                         duration{static_cast<std::int64_t>(random_.below(
+                             static_cast<std::uint64_t>(spread.count()) + 1))};
     // A link keeps the order of its messages.
     duration& busy = link_busy_[{from, to}];
     busy = std::max(busy, now_ + delay);
     std::uint64_t const life = hosts_[to].life_;
     if (!hosts_[to].up_)
     {
-        at(now_ + delay,
-           [this, from, out]
+        at(now_ + delay, [this, from, out]
            { give(from, calls::input{calls::undelivered{out}}); });
         return;
     }
@@ -334,14 +341,15 @@
     ++history_.forwards_[f.context_.root_];
     calls::state const& s = *hosts_[from].calls_;
     auto const call = s.forwards_.find(f.number_);
-    bool const first_of_root =
-        f.context_.depth_ == 0 && call != s.forwards_.end() &&
-        s.calls_.at(call->second).attempts_ == 1;
+    bool const first_of_root = f.context_.depth_ == 0 &&
+                               call != s.forwards_.end() &&
+                               s.calls_.at(call->second).attempts_ == 1;
     if (first_of_root && !f.context_.account_.empty())
         history_.tokens_.push_back({now_, f.context_.account_});
 }
 
-// --- Nodes -----------------------------------------------------------------------
+// --- Nodes
+// -----------------------------------------------------------------------
 
 void memory_fleet::give(std::size_t i, node_input in)
 {
@@ -451,14 +459,17 @@
             {
                 bool const alive = backend_up(p.server_id_);
                 at(now_ + std::chrono::milliseconds(1),
-                   [this, i, p, alive]
-                   {
+                   [this, i, p, alive] {
                        give(
-                           i, calls::input{
-                                  calls::probed{p.server_id_, alive}});
+                           i, calls::input{calls::probed{p.server_id_, alive}});
                    });
             },
-            [&](calls::stopped&) { hosts_[i].stopped_ = true; },
+            [&](calls::stopped&)
+            {
+                // The process is gone; whatever it had not finished is lost.
+                hosts_[i].stopped_ = true;
+                at(now_, [this, i] { kill(i); });
+            },
         },
         e);
 }
@@ -530,7 +541,8 @@
     start_sync(i);
 }
 
-// --- Backend servers -----------------------------------------------------------------
+// --- Backend servers
+// -----------------------------------------------------------------
 
 void memory_fleet::add_backend(std::size_t host, backend_options b)
 {
@@ -580,8 +592,8 @@
            [this, i, r]
            {
                give(
-                   i, calls::input{calls::backend_done{
-                          r.run_, calls::not_connected{}}});
+                   i, calls::input{
+                          calls::backend_done{r.run_, calls::not_connected{}}});
            });
         return;
     }
@@ -604,14 +616,13 @@
         return;
     }
     std::string const body = r.request_.body_;
-    auto const finish = [this, i, id = r.server_id_, run = r.run_, body](
-                            std::uint16_t status)
+    auto const finish =
+        [this, i, id = r.server_id_, run = r.run_, body](std::uint16_t status)
     {
         finish_run(
             i, id, run, calls::answered{answer{status, {}, "echo " + body}});
     };
-    std::string const sleep =
-        find_header(r.request_.headers_, "fake-sleep-ms");
+    std::string const sleep = find_header(r.request_.headers_, "fake-sleep-ms");
     duration const time = sleep.empty()
                               ? b.options_.service_time_
                               : std::chrono::milliseconds(std::stol(sleep));
@@ -621,8 +632,7 @@
         at(now_ + time, [finish] { finish(200); });
         return;
     }
-    std::string const ticket =
-        find_header(r.request_.headers_, ticket_header);
+    std::string const ticket = find_header(r.request_.headers_, ticket_header);
     at(now_ + time,
        [this, i, down, ticket, finish]
        {
@@ -698,7 +708,8 @@
     return known != backends_.end() && known->second.up_;
 }
 
-// --- Callers and operators ---------------------------------------------------------
+// --- Callers and operators
+// ---------------------------------------------------------
 
 std::uint64_t memory_fleet::send_request(std::size_t host, request r)
 {
@@ -711,8 +722,7 @@
 
 void memory_fleet::leave(std::uint64_t request)
 {
-    give(
-        request_host_.at(request), calls::input{calls::caller_left{request}});
+    give(request_host_.at(request), calls::input{calls::caller_left{request}});
 }
 
 std::uint64_t memory_fleet::submit(std::size_t host, change c)
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -19,7 +19,8 @@
 namespace jackdawhall::test
 {
 
-// --- History ------------------------------------------------------------------
+// --- History
+// ------------------------------------------------------------------
 
 // A run that a fake backend server began.
 struct run_event
@@ -72,7 +73,8 @@
     std::vector<std::string> reversions_;         // a revision went back
 };
 
-// --- Fleet --------------------------------------------------------------------
+// --- Fleet
+// --------------------------------------------------------------------
 
 struct fleet_options
 {
@@ -92,8 +94,8 @@
     service_name service_;
     std::uint32_t slots_ = 8;
     duration service_time_ = std::chrono::milliseconds(2);
-    std::string calls_;              // path called down the chain
-    bool fails_ = false;             // every connection breaks
+    std::string calls_;  // path called down the chain
+    bool fails_ = false; // every connection breaks
     bool announces_ = true;
 };
 
--- a/test/support/scenario.cpp
+++ b/test/support/scenario.cpp
@@ -136,8 +136,7 @@
         bool const pays = i % 2 == 1;
         backend_options b;
         b.id_ = (pays ? "payments-" : "plans-") + std::to_string(i);
-        b.service_ =
-            literal<service_name>(pays ? "payments" : "plans");
+        b.service_ = literal<service_name>(pays ? "payments" : "plans");
         fleet.add_backend(i, b);
     }
     fleet.run_for(2s);
--- a/test/support/scenario.hpp
+++ b/test/support/scenario.hpp
@@ -15,18 +15,21 @@
 inline std::string const test_secret(key_secret_bytes * 2, 'a');
 
 record_key account_key(std::string const& name);
-edit put_account(std::string const& name, double rate, std::int64_t burst,
-                 revision expected = 0);
-edit put_key(std::string const& account, std::string const& key,
-             revision expected = 0, bool withdrawn = false);
+edit put_account(
+    std::string const& name, double rate, std::int64_t burst,
+    revision expected = 0);
+edit put_key(
+    std::string const& account, std::string const& key, revision expected = 0,
+    bool withdrawn = false);
 edit put_route(std::string const& name, route_v1 route, revision expected = 0);
-route_v1 repeatable_route(std::string const& path, std::string const& service,
-                          rank importance = 5);
+route_v1 repeatable_route(
+    std::string const& path, std::string const& service, rank importance = 5);
 route_v1 payment_route(std::string const& path, std::string const& service);
 
 // A request with the key "<account>/first".
-request keyed(std::string const& method, std::string const& path,
-              std::string const& account, std::string body = {});
+request keyed(
+    std::string const& method, std::string const& path,
+    std::string const& account, std::string body = {});
 request with_header(request r, std::string const& name, std::string value);
 
 // A fresh idempotency key for the fleet's present wall clock.
