Queue twice the limit at a gate: what matters most is not shed at bursts

Cause: a queue as long as the limit was full of the most important requests at random bursts, while the slots still ran lesser ones. Ruled out: thresholds (the refusals were all shed_at_gate, at rank 0).

--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -12,7 +12,7 @@
 {
 
 // Calls queued beyond the limit, as a share of it; and at least so many.
-constexpr std::size_t queue_factor = 1;
+constexpr std::size_t queue_factor = 2;
 constexpr std::size_t least_queue = 4;
 // A queue with a call older than this is overloaded: newest first.
 constexpr duration queue_target = std::chrono::milliseconds(20);
