Stop the timers that fired without end, and keep HTTP connections open

Cause, by perf and strace of a daemon under a kept connection: - GLib's timeout source sets its own next time after each dispatch, at an interval of 0 that was 'now': every timer of a link and of the loop fired without end once set, a whole core at rest after the first second, and pings in storms. Now a source of ours fires once at its ready time. - Connections handed to SoupServer as streams are closed after one request (libsoup 3.2.3; shown with a ten-line server). Now it listens itself, and the first request of a connection sets its bounds. Ruled out: the client side (its connections were closed by the peer), socket timeouts, the body stream's closing.

--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -304,7 +304,8 @@
     while (std::holds_alternative<going>(p.flow_) &&
            p.call_.next_filter_ < entry_filters.size())
     {
-        p = entry_filters.at(p.call_.next_filter_).apply_(std::move(p));
+        filter const& next = entry_filters.at(p.call_.next_filter_);
+        p = next.apply_(std::move(p));
         if (std::holds_alternative<going>(p.flow_))
             ++p.call_.next_filter_;
     }
--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr gsize read_bytes = 64 << 10;
+constexpr gsize read_bytes = 16 << 10;
 constexpr int max_connections_per_server = 1024;
 constexpr int max_connections = 8192;
 constexpr guint probe_timeout_s = 1;
@@ -285,6 +285,11 @@
     std::uint64_t const run = e.run_;
     if (e.message_)
         g_signal_handlers_disconnect_by_data(e.message_.get(), &e);
+    // Closing gives the connection back for the next run; dropping the stream
+    // would close the connection.
+    if (e.body_)
+        g_input_stream_close_async(
+            e.body_.get(), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
     open_.erase(run);
     handlers_.done_(run, std::move(result));
 }
--- a/packages/loop/jackdawhall/loop/event_loop.cpp
+++ b/packages/loop/jackdawhall/loop/event_loop.cpp
@@ -1,5 +1,7 @@
 #include <jackdawhall/loop/event_loop.hpp>
 
+#include <jackdawhall/loop/timer_source.hpp>
+
 #include <csignal>
 #include <glib-unix.h>
 
@@ -31,26 +33,22 @@
 void event_loop::set_timer(instant due, std::function<void()> f)
 {
     on_timer_ = std::move(f);
-    if (timer_ && timer_due_ == due)
+    // An earlier time than needed stays: firing early costs less than telling
+    // the loop of every later one.
+    if (timer_ && timer_due_ && *timer_due_ <= due)
         return;
     timer_due_ = due;
     if (!timer_)
-    {
-        timer_.reset(g_timeout_source_new(0));
-        g_source_set_callback(
-            timer_.get(),
+        timer_ = make_timer(
             [](gpointer self) -> gboolean
             {
                 event_loop& l = *static_cast<event_loop*>(self);
-                g_source_set_ready_time(l.timer_.get(), -1);
-                l.timer_due_ = instant{};
+                l.timer_due_.reset();
                 l.on_timer_();
                 return G_SOURCE_CONTINUE;
             },
-            this, nullptr);
-        g_source_attach(timer_.get(), nullptr);
-    }
-    g_source_set_ready_time(timer_.get(), due.time_since_epoch().count());
+            this);
+    set_timer_due(timer_, due);
 }
 
 void event_loop::on_stop_signal(std::function<void()> f)
--- a/packages/loop/jackdawhall/loop/event_loop.hpp
+++ b/packages/loop/jackdawhall/loop/event_loop.hpp
@@ -21,7 +21,7 @@
     void run();
     void quit();
 
-    // Calls `f` once at `due`, in place of what was set before.
+    // Calls `f` once, at `due` or at an earlier time that was set before.
     void set_timer(instant due, std::function<void()> f);
 
     // Calls `f` for SIGTERM and SIGINT.
@@ -34,7 +34,7 @@
     };
     std::unique_ptr<GMainLoop, loop_deleter> loop_;
     source_ptr timer_;
-    instant timer_due_;
+    std::optional<instant> timer_due_; // nothing: not set
     std::function<void()> on_timer_;
     std::function<void()> on_stop_;
 };
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -10,6 +10,8 @@
 
 // A connection without any byte for this long is closed.
 constexpr guint idle_timeout_s = 60;
+// Marks sockets whose options are set.
+constexpr char known_mark[] = "jackdawhall-known";
 constexpr goffset max_request_bytes = (1 << 20) + 1;
 
 headers headers_of(SoupMessageHeaders* from)
@@ -113,67 +115,57 @@
 
 http_server::~http_server()
 {
-    stop_accepting();
     for (auto& open : open_)
         g_signal_handler_disconnect(
             open.second.message_.get(), open.second.finished_);
     open_.clear();
-    soup_server_disconnect(server_.get());
+    stop_accepting();
 }
 
 leaf::result<void> http_server::listen(std::string const& key)
 {
-    service_.reset(g_socket_service_new());
     object_ptr<GInetAddress> const ip(
         g_inet_address_new_from_string(listen_.address_.c_str()));
     object_ptr<GSocketAddress> const address(
         g_inet_socket_address_new(ip.get(), listen_.port_));
+    g_signal_connect(
+        server_.get(), "request-started",
+        G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer self)
+                   { static_cast<http_server*>(self)->begin(message); }),
+        this);
     GError* raw = nullptr;
-    gboolean const bound = g_socket_listener_add_address(
-        G_SOCKET_LISTENER(service_.get()), address.get(), G_SOCKET_TYPE_STREAM,
-        G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &raw);
+    gboolean const bound = soup_server_listen(
+        server_.get(), address.get(), SoupServerListenOptions{}, &raw);
     error_ptr const error(raw);
     if (!bound)
         return leaf::new_error(user_error{
             "cannot listen on " + listen_.address_ + ":" +
                 std::to_string(listen_.port_) + ": " + message_of(error),
             "free the port, or change " + key});
-    g_signal_connect(
-        service_.get(), "incoming",
-        G_CALLBACK(
-            +[](GSocketService*, GSocketConnection* connection, GObject*,
-                gpointer self) -> gboolean
-            {
-                static_cast<http_server*>(self)->accept(connection);
-                return TRUE;
-            }),
-        this);
-    g_socket_service_start(service_.get());
     return {};
 }
 
-void http_server::accept(GSocketConnection* connection)
+// Called before a request is read. The first one of a connection bounds it.
+void http_server::begin(SoupServerMessage* message)
 {
-    if (connections_ >= max_connections_)
-        return; // dropping the connection closes it
-    GSocket* socket = g_socket_connection_get_socket(connection);
+    GSocket* socket = soup_server_message_get_socket(message);
+    if (!socket || g_object_get_data(G_OBJECT(socket), known_mark))
+        return;
+    g_object_set_data(G_OBJECT(socket), known_mark, socket);
     g_socket_set_timeout(socket, idle_timeout_s);
     set_socket_options(socket);
-    object_ptr<GSocketAddress> const local(
-        g_socket_connection_get_local_address(connection, nullptr));
-    object_ptr<GSocketAddress> const remote(
-        g_socket_connection_get_remote_address(connection, nullptr));
-    if (!local || !remote)
-        return;
-    ++connections_;
+    ++*connections_;
     g_object_weak_ref(
-        G_OBJECT(connection),
-        [](gpointer self, GObject*)
-        { --static_cast<http_server*>(self)->connections_; },
-        this);
-    soup_server_accept_iostream(
-        server_.get(), G_IO_STREAM(connection), local.get(), remote.get(),
-        nullptr);
+        G_OBJECT(socket),
+        [](gpointer count, GObject*)
+        {
+            std::unique_ptr<std::shared_ptr<std::uint32_t>> const held(
+                static_cast<std::shared_ptr<std::uint32_t>*>(count));
+            --**held;
+        },
+        new std::shared_ptr<std::uint32_t>(connections_));
+    if (*connections_ > max_connections_)
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
 void http_server::take(SoupServerMessage* message)
@@ -265,10 +257,7 @@
 
 void http_server::stop_accepting()
 {
-    if (!service_)
-        return;
-    g_socket_service_stop(service_.get());
-    g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
+    soup_server_disconnect(server_.get());
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -49,7 +49,7 @@
 private:
     struct exchange;
 
-    void accept(GSocketConnection* connection);
+    void begin(SoupServerMessage* message);
     void take(SoupServerMessage* message);
     void watch_for_leaving(exchange& e);
     static gboolean
@@ -60,8 +60,9 @@
     std::uint32_t max_connections_;
     http_handlers handlers_;
     object_ptr<SoupServer> server_;
-    object_ptr<GSocketService> service_;
-    std::uint32_t connections_ = 0;
+    // Shared with sockets that outlive this.
+    std::shared_ptr<std::uint32_t> connections_ =
+        std::make_shared<std::uint32_t>(0);
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, exchange> open_;
 };
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -6,6 +6,7 @@
 
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/socket_options.hpp>
+#include <jackdawhall/loop/timer_source.hpp>
 
 namespace jackdawhall::loop
 {
@@ -80,6 +81,7 @@
     source_ptr readable_;
     source_ptr writable_;
     source_ptr timer_;
+    std::optional<instant> timer_due_;
     std::string in_;
     std::string out_;
     std::uint64_t written_ = 0; // bytes of the stream
@@ -95,7 +97,7 @@
     host_name self, endpoint listen, std::string secret, peer_handlers handlers)
     : self_(std::move(self)), listen_(std::move(listen)),
       secret_(std::move(secret)), handlers_(std::move(handlers)),
-      client_(g_socket_client_new())
+      client_(g_socket_client_new()), read_buffer_(read_bytes)
 {
     g_socket_client_set_enable_proxy(client_.get(), FALSE);
     g_socket_client_set_timeout(
@@ -298,7 +300,7 @@
 
 void peer_links::read_ready(link& l)
 {
-    std::string chunk(read_bytes, '\0');
+    std::vector<char>& chunk = read_buffer_;
     for (int i = 0; i < reads_at_once && l.stage_ != link_stage::closed; ++i)
     {
         GError* raw = nullptr;
@@ -480,23 +482,21 @@
 
 void peer_links::arm(link& l, duration after)
 {
+    instant const due = now() + after;
+    if (l.timer_due_ && *l.timer_due_ <= due)
+        return; // tend() sets the next time
+    l.timer_due_ = due;
     if (!l.timer_)
-    {
-        l.timer_.reset(g_timeout_source_new(0));
-        g_source_set_callback(
-            l.timer_.get(),
+        l.timer_ = make_timer(
             [](gpointer data) -> gboolean
             {
-                link& due = *static_cast<link*>(data);
-                g_source_set_ready_time(due.timer_.get(), -1);
-                due.owner_->tend(due);
+                link& tended = *static_cast<link*>(data);
+                tended.timer_due_.reset();
+                tended.owner_->tend(tended);
                 return G_SOURCE_CONTINUE;
             },
-            &l, nullptr);
-        g_source_attach(l.timer_.get(), nullptr);
-    }
-    g_source_set_ready_time(
-        l.timer_.get(), (now() + after).time_since_epoch().count());
+            &l);
+    set_timer_due(l.timer_, due);
 }
 
 void peer_links::tend(link& l)
@@ -512,7 +512,7 @@
         if (silent >= probe_after)
             queue(l, ping_kind, {}, 0, false);
         if (l.stage_ != link_stage::closed)
-            arm(l, probe_step);
+            arm(l, std::max(probe_step, probe_after - silent));
         return;
     }
     duration const idle = at - l.last_received_;
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <jackdawhall/loop/gobject.hpp>
 #include <jackdawhall/model.hpp>
@@ -89,6 +90,7 @@
     std::map<host_name, instant> failed_; // connects that failed lately
     std::list<link> links_;
     source_ptr collecting_;
+    std::vector<char> read_buffer_; // used within one read only
 };
 
 } // namespace jackdawhall::loop
--- a/packages/model/jackdawhall/model/request.cpp
+++ b/packages/model/jackdawhall/model/request.cpp
@@ -14,7 +14,7 @@
     key_header,    ticket_header,   deadline_header,     verdict_header,
     reason_header, "authorization", "connection",        "keep-alive",
     "te",          "trailer",       "transfer-encoding", "upgrade",
-    "host",        "content-length"};
+    "host",        "date",          "content-length"};
 
 bool is_hop_field(header const& field)
 {
