Take a chunked answer for whole only while its connection is open

A connection that is still open after the answer can only have seen the last chunk; one that is closed leaves the answer in doubt. Ruled out: asking by HTTP/1.0 (answers would end with their connection), counting bytes (libsoup does not show them). Price: a server that closes right after a whole chunked answer gets 'may have run'; docs/CALLING.md asks for a length.

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -55,6 +55,8 @@
     source_ptr silence_;
     endpoint to_;
     instant began_;
+    object_ptr<GSocket> socket_; // if this run made the connection
+    guint64 connection_ = 0;     // libsoup's id of it
     std::string answer_;
     bool started_ = false; // the first byte may have been sent
     bool late_ = false;
@@ -134,7 +136,10 @@
     g_signal_connect(
         e.message_.get(), "starting",
         G_CALLBACK(+[](SoupMessage*, gpointer data)
-                   { static_cast<exchange*>(data)->started_ = true; }),
+                   {
+                       exchange& starting = *static_cast<exchange*>(data);
+                       starting.owner_->note_connection(starting);
+                   }),
         &e);
     // libsoup sends some requests again by itself when a kept connection
     // breaks. Only the calls package may decide that.
@@ -150,12 +155,17 @@
     g_signal_connect(
         e.message_.get(), "network-event",
         G_CALLBACK(+[](SoupMessage*, GSocketClientEvent event,
-                       GIOStream* stream, gpointer)
+                       GIOStream* stream, gpointer data)
                    {
-                       if (event == G_SOCKET_CLIENT_CONNECTED)
-                           set_socket_options(stream);
+                       if (event != G_SOCKET_CLIENT_CONNECTED ||
+                           !G_IS_SOCKET_CONNECTION(stream))
+                           return;
+                       GSocket* socket = g_socket_connection_get_socket(
+                           G_SOCKET_CONNECTION(stream));
+                       set_socket_options(socket);
+                       static_cast<exchange*>(data)->socket_ = share(socket);
                    }),
-        nullptr);
+        &e);
     e.silence_.reset(g_timeout_source_new(silence_ms));
     g_source_set_callback(
         e.silence_.get(),
@@ -195,6 +205,31 @@
         &e);
 }
 
+// Remembers the socket of each connection, for is_still_open().
+void backend_client::note_connection(exchange& e)
+{
+    e.started_ = true;
+    e.connection_ = soup_message_get_connection_id(e.message_.get());
+    if (!e.socket_)
+        return;
+    std::erase_if(
+        sockets_, [](auto const& known)
+        { return g_socket_is_closed(known.second.get()); });
+    sockets_.insert_or_assign(e.connection_, std::move(e.socket_));
+}
+
+// Whether the peer has not closed the run's connection. libsoup takes the end
+// of a connection between two chunks for the last chunk; while the connection
+// is open, only the last chunk can have ended the answer.
+bool backend_client::is_still_open(exchange const& e) const
+{
+    auto const known = sockets_.find(e.connection_);
+    if (known == sockets_.end())
+        return false;
+    // Readable here means closed: nothing else was asked for.
+    return g_socket_condition_check(known->second.get(), G_IO_IN) == 0;
+}
+
 void backend_client::take_head(
     exchange& e, GInputStream* body, error_ptr const& error)
 {
@@ -246,10 +281,11 @@
         soup_message_get_method(e.message_.get()) == std::string_view("HEAD");
     auto const length =
         static_cast<gsize>(soup_message_headers_get_content_length(fields));
-    bool const whole = head || encoding == SOUP_ENCODING_CHUNKED ||
-                       encoding == SOUP_ENCODING_NONE ||
-                       (encoding == SOUP_ENCODING_CONTENT_LENGTH &&
-                        length == e.answer_.size());
+    bool const whole =
+        head || encoding == SOUP_ENCODING_NONE ||
+        (encoding == SOUP_ENCODING_CHUNKED && is_still_open(e)) ||
+        (encoding == SOUP_ENCODING_CONTENT_LENGTH &&
+         length == e.answer_.size());
     if (!whole)
         return finish(e, backend_broken{doubt_reason::answer_incomplete});
     answer a;
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -74,6 +74,8 @@
     };
 
     SoupSession* session_for(endpoint const& to);
+    void note_connection(exchange& e);
+    bool is_still_open(exchange const& e) const;
     void suspect_silence(exchange& e, bool ended);
     void take_head(exchange& e, GInputStream* body, error_ptr const& error);
     void read_more(exchange& e);
@@ -83,6 +85,7 @@
 
     backend_handlers handlers_;
     std::map<endpoint, connections> connections_;
+    std::map<guint64, object_ptr<GSocket>> sockets_; // by connection id
     object_ptr<GSocketClient> prober_;
     std::map<std::uint64_t, std::unique_ptr<exchange>> open_;
 };
