--- a/packages/control/jackdawhall/control/change_voters.cpp
+++ b/packages/control/jackdawhall/control/change_voters.cpp
@@ -66,7 +66,7 @@
     return voters;
 }
 
-void remove_lost_disk(work& w, voter const& lost)
+void remove_lost_disk(work& w, voter lost)
 {
     leader const& l = std::get<leader>(w.state_.role_);
     auto const known = l.peers_.find(lost);
@@ -142,10 +142,7 @@
         s.log_.voters().begin(), s.log_.voters().end(),
         [&](voter const& v) { return v.host_ == m.voter_.host_; });
     if (same_host != s.log_.voters().end())
-    {
-        voter const lost = *same_host;
-        return remove_lost_disk(w, lost);
-    }
+        return remove_lost_disk(w, *same_host);
     add_when_caught_up(w, m.voter_);
 }
 
--- a/packages/control/jackdawhall/control/consensus.cpp
+++ b/packages/control/jackdawhall/control/consensus.cpp
@@ -179,6 +179,7 @@
     if (!std::holds_alternative<leader>(w.state_.role_) || commands.empty())
         return finish(std::move(w));
     std::vector<log_entry> entries;
+    entries.reserve(commands.size());
     log_index index = w.state_.log_.last_index();
     for (command& c : commands)
         entries.push_back({++index, w.state_.hard_state_.term_, std::move(c)});
--- a/packages/daemon/jackdawhall/daemon/log.cpp
+++ b/packages/daemon/jackdawhall/daemon/log.cpp
@@ -75,7 +75,7 @@
 {
     std::string line = std::string(prefix_of(from)) + ": " + sentence;
     for (auto const& [name, value] : fields)
-        line += " " + name + "=" + value;
+        line.append(" ").append(name).append("=").append(value);
     return line;
 }
 
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -12,6 +12,8 @@
 constexpr guint idle_timeout_s = 60;
 // Marks sockets whose options are set.
 constexpr char known_mark[] = "jackdawhall-known";
+// Bytes of a request's body read so far.
+constexpr char seen_bytes_mark[] = "jackdawhall-bytes";
 constexpr goffset max_request_bytes = (1 << 20) + 1;
 
 headers headers_of(SoupMessageHeaders* from)
@@ -62,13 +64,16 @@
 // Closes the connection of a request whose body grows beyond the bound.
 void bound_chunk(SoupServerMessage* message, GBytes* chunk, gpointer)
 {
-    auto const seen = reinterpret_cast<gsize>(
-        g_object_get_data(G_OBJECT(message), "jackdawhall-bytes"));
-    gsize const size = seen + g_bytes_get_size(chunk);
-    g_object_set_data(
-        G_OBJECT(message), "jackdawhall-bytes",
-        reinterpret_cast<gpointer>(size));
-    if (size <= static_cast<gsize>(max_request_bytes))
+    auto* seen = static_cast<gsize*>(
+        g_object_get_data(G_OBJECT(message), seen_bytes_mark));
+    if (!seen)
+    {
+        seen = g_new0(gsize, 1);
+        g_object_set_data_full(
+            G_OBJECT(message), seen_bytes_mark, seen, g_free);
+    }
+    *seen += g_bytes_get_size(chunk);
+    if (*seen <= static_cast<gsize>(max_request_bytes))
         return;
     GSocket* socket = soup_server_message_get_socket(message);
     if (socket)
