Notice a peer that closes a kept HTTP connection between two requests

Cause: libsoup 3.2.3 does not look at an idle connection's end (shown with a ten-line server: its socket stayed in CLOSE-WAIT); a message answered within its handler must also not be paused. The stop test now holds requests for four seconds, longer than the stop's own announcement.

--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -92,6 +92,40 @@
     g_signal_connect(message, "got-chunk", G_CALLBACK(bound_chunk), nullptr);
 }
 
+bool has_ended(GSocket* socket)
+{
+    char byte = 0;
+    GInputVector vector{&byte, 1};
+    gint flags = G_SOCKET_MSG_PEEK;
+    return g_socket_receive_message(
+               socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr,
+               nullptr) == 0;
+}
+
+gboolean
+idle_connection_readable(GSocket* socket, GIOCondition, gpointer message)
+{
+    if (!has_ended(socket))
+        return G_SOURCE_REMOVE; // the next request
+    object_ptr<GIOStream> const connection(
+        soup_server_message_steal_connection(SOUP_SERVER_MESSAGE(message)));
+    if (connection)
+        g_io_stream_close(connection.get(), nullptr, nullptr);
+    return G_SOURCE_REMOVE;
+}
+
+// libsoup 3.2.3 does not notice that its peer closed a kept connection between
+// two requests. `message` is the next one, still blank.
+void close_when_idle_peer_leaves(SoupServerMessage* message, GSocket* socket)
+{
+    GSource* readable = g_socket_create_source(socket, G_IO_IN, nullptr);
+    g_source_set_callback(
+        readable, G_SOURCE_FUNC(idle_connection_readable),
+        g_object_ref(message), g_object_unref);
+    g_source_attach(readable, nullptr);
+    g_source_unref(readable);
+}
+
 } // namespace
 
 struct http_server::exchange
@@ -101,6 +135,7 @@
     object_ptr<SoupServerMessage> message_;
     gulong finished_ = 0; // signal handler
     source_ptr leaving_;
+    bool paused_ = false;
 };
 
 http_server::http_server(
@@ -154,7 +189,10 @@
 void http_server::begin(SoupServerMessage* message)
 {
     GSocket* socket = soup_server_message_get_socket(message);
-    if (!socket || g_object_get_data(G_OBJECT(socket), known_mark))
+    if (!socket)
+        return;
+    close_when_idle_peer_leaves(message, socket);
+    if (g_object_get_data(G_OBJECT(socket), known_mark))
         return;
     g_object_set_data(G_OBJECT(socket), known_mark, socket);
     g_socket_set_timeout(socket, idle_timeout_s);
@@ -190,28 +228,35 @@
                        ended.owner_->forget(ended.number_);
                    }),
         &e);
-    soup_server_message_pause(message);
-    watch_for_leaving(e);
     char const* host = soup_server_message_get_remote_host(message);
     handlers_.requested_(number, request_of(message), host ? host : "");
+    // A message that is answered by now must not be paused: libsoup would not
+    // read the next request of its connection.
+    auto const open = open_.find(number);
+    if (open == open_.end())
+        return;
+    open->second.paused_ = true;
+    soup_server_message_pause(message);
+    watch_for_leaving(open->second);
 }
 
 gboolean
 http_server::caller_readable(GSocket* socket, GIOCondition, gpointer data)
 {
     exchange& waiting = *static_cast<exchange*>(data);
-    char byte = 0;
-    GInputVector vector{&byte, 1};
-    gint flags = G_SOCKET_MSG_PEEK;
-    gssize const n = g_socket_receive_message(
-        socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr,
-        nullptr);
+    bool const left = has_ended(socket);
     http_server& server = *waiting.owner_;
     std::uint64_t const number = waiting.number_;
     waiting.leaving_.reset();
-    if (n == 0)
+    if (left)
     {
+        object_ptr<SoupServerMessage> const message =
+            share(waiting.message_.get());
         server.handlers_.left_(number);
+        // Nobody reads an answer; libsoup needs one to end the connection.
+        soup_server_message_set_status(
+            message.get(), SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
         server.forget(number);
     }
     return G_SOURCE_REMOVE;
@@ -237,7 +282,8 @@
         return;
     g_signal_handler_disconnect(
         open->second.message_.get(), open->second.finished_);
-    soup_server_message_unpause(open->second.message_.get());
+    if (open->second.paused_)
+        soup_server_message_unpause(open->second.message_.get());
     open_.erase(open);
 }
 
--- a/test/correctness/server_leaves.cpp
+++ b/test/correctness/server_leaves.cpp
@@ -71,17 +71,20 @@
 {
     memory_fleet fleet({});
     set_up_usual(fleet, 5);
+    route_v1 patient = repeatable_route("/plans", "plans");
+    patient.timeout_ms_ = 10000;
+    make_change(fleet, {put_route("plans", patient, 1)});
     fleet.send_request(4, keyed("GET", "/plans", "acme", "warm"));
     fleet.run_for(1s);
     request const slow = with_header(
-        keyed("GET", "/plans", "acme", "slow"), "fake-sleep-ms", "800");
+        keyed("GET", "/plans", "acme", "slow"), "fake-sleep-ms", "4000");
     std::vector<std::uint64_t> sent;
     for (std::size_t i = 0; i < 10; ++i)
         sent.push_back(fleet.send_request(i % 5, slow));
     fleet.run_for(100ms);
     fleet.request_stop(4);
     CHECK_FALSE(fleet.stopped(4));
-    fleet.run_until([&] { return fleet.stopped(4); }, 5s);
+    fleet.run_until([&] { return fleet.stopped(4); }, 10s);
     CHECK(fleet.stopped(4));
     for (std::uint64_t const n : sent)
         CHECK(std::holds_alternative<ran>(fleet.verdict_of(n).value()));
