Never wait for a peer that may have closed

Cause: a GSocket peeks in blocking mode, so that the look at an idle connection could hold the loop until its peer sent more, when libsoup had read the bytes that woke it.

--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -1,5 +1,7 @@
 #include <jackdawhall/loop/http_server.hpp>
 
+#include <sys/socket.h>
+
 #include <jackdawhall/loop/socket_options.hpp>
 
 namespace jackdawhall::loop
@@ -92,14 +94,14 @@
     g_signal_connect(message, "got-chunk", G_CALLBACK(bound_chunk), nullptr);
 }
 
+// Whether the peer has closed its side and nothing is left to read. Never
+// waits: a GSocket in its blocking mode would, when libsoup has read the bytes
+// that woke this up.
 bool has_ended(GSocket* socket)
 {
     char byte = 0;
-    GInputVector vector{&byte, 1};
-    gint flags = G_SOCKET_MSG_PEEK;
-    return g_socket_receive_message(
-               socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr,
-               nullptr) == 0;
+    return ::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+           0;
 }
 
 gboolean
