Refuse over the rate as such, not at the deadline

Cause: a call that waits for a token waited up to four seconds unless the very last answer had said 'exhausted'; grants to others in between made it wait to its deadline (the demo's 16 parallel requests at 5 a second: seven 200, nine 504). Now it waits 300 ms once an allocator has answered, and longer only while none does. rate_window, claims, shed_last and 25 generated schedules pass.

--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -178,7 +178,7 @@
     std::int64_t asked_waiting_ = 0;
     instant last_call_;
     instant ask_again_;      // not before
-    bool exhausted_ = false; // by the last answer
+    bool allocated_ = false; // an allocator gave the last answer
     // Calls in the current and the last prefetch window, as demand.
     instant window_ends_;
     std::int64_t window_calls_ = 0;
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -78,6 +78,8 @@
     r.reports_ = take_reports(h, false);
     if (!report_only)
     {
+        if (h.asked_ != 0)
+            h.allocated_ = false; // the request before got no answer
         r.number_ = next_number(s);
         r.waiting_ = static_cast<std::int64_t>(h.waiting_.size());
         r.wanted_ = std::max<std::int64_t>(0, demand(h) - tokens_left(h));
@@ -104,7 +106,7 @@
 // How long a call may wait for a token, from its start.
 duration longest_wait(holding const& h)
 {
-    return h.exhausted_ ? token_wait : allocator_wait;
+    return h.allocated_ ? token_wait : allocator_wait;
 }
 
 passage wait_for_token(passage p, holding& h)
@@ -117,7 +119,7 @@
     instant const until = c.since_ + longest_wait(h);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
-        refusal_reason const why = h.exhausted_
+        refusal_reason const why = h.allocated_
                                        ? refusal_reason::rate_exceeded
                                        : refusal_reason::rate_unavailable;
         return refuse(std::move(p), why, std::chrono::seconds(1));
@@ -220,7 +222,8 @@
         return w;
     holding& h = known->second;
     h.asked_ = 0;
-    h.exhausted_ = r.result_ == grant_result::exhausted;
+    bool const exhausted = r.result_ == grant_result::exhausted;
+    h.allocated_ = r.result_ != grant_result::unavailable;
     if (r.result_ == grant_result::granted)
     {
         duration const length = r.length_ - r.length_ / clock_drift_divisor;
@@ -229,14 +232,13 @@
         resume_waiting(w, r.account_);
         return w;
     }
-    if (h.exhausted_ && r.retry_after_ > token_wait)
+    if (exhausted && r.retry_after_ > token_wait)
     {
         h.ask_again_ = w.at_.now_ + token_wait;
         refuse_waiting(w, r.account_, r.retry_after_);
         return w;
     }
-    h.ask_again_ =
-        w.at_.now_ + (h.exhausted_ ? r.retry_after_ : control_resend);
+    h.ask_again_ = w.at_.now_ + (exhausted ? r.retry_after_ : control_resend);
     return w;
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -46,9 +46,8 @@
 printf 'runs at the backend server: %s\n' "$(grep -c "key=$uuid" "$run/payments-1.log")"
 
 say "Over its rate the account is refused, with the time to wait"
-for i in 1 2 3 4 5 6 7 8; do
-  curl -s -o /dev/null -w '%{http_code} ' -H "jackdawhall-key: $key" "http://$(callers 2)/plans/$i"
-done
+seq 1 16 | xargs -P 16 -I{} curl -s -o /dev/null -w '%{http_code} ' \
+  -H "jackdawhall-key: $key" "http://$(callers 2)/plans/{}"
 echo
 
 say "The operator withdraws the key"
