--- a/packages/calls/jackdawhall/calls/check_access.cpp
+++ b/packages/calls/jackdawhall/calls/check_access.cpp
@@ -22,61 +22,98 @@
                                         : std::string{};
 }
 
+// The service of a route, by weight; empty if every weight is 0.
+service_name
+choose_service(std::vector<weighted_service> const& services, random_source& r)
+{
+    std::int64_t total = 0;
+    for (weighted_service const& s : services)
+        total += s.weight_;
+    if (total <= 0)
+        return {};
+    auto at = static_cast<std::int64_t>(
+        r.below(static_cast<std::uint64_t>(total)));
+    for (weighted_service const& s : services)
+    {
+        at -= s.weight_;
+        if (at < 0)
+            return s.service_;
+    }
+    return {};
+}
+
+// Routes of schema 2 that need no key carry the calls which backend servers
+// make while they run a request: that work has begun, so it goes first.
+rank rank_of(route const& r)
+{
+    if (r.attempts_ == 0)
+        return r.rank_;
+    return r.open_ ? rank{0} : below_begun_work(r.rank_);
+}
+
 } // namespace
 
+rank below_begun_work(rank r)
+{
+    return std::min<rank>(lowest_rank, r + 1);
+}
+
 passage find_call_route(passage p)
 {
     if (!p.state_.configuration_.fresh_until_)
         return refuse(
             std::move(p), refusal_reason::no_fresh_configuration, lease_retry);
     request const& r = p.call_.request_;
-    route const* found =
-        find_route(p.state_.configuration_, r.method_, r.path_);
+    route const* found = find_route(
+        p.state_.configuration_, r.method_, virtual_host_of(r), r.path_);
     if (!found)
         return refuse(std::move(p), refusal_reason::no_route);
     entry_call& c = p.call_;
-    route_v1 const& rule = found->rule_;
-    c.service_ = rule.service_;
-    c.context_.repeatable_ = rule.repeatable_;
-    instant const latest =
-        c.since_ + std::chrono::milliseconds(rule.timeout_ms_);
+    c.service_ = choose_service(found->services_, p.state_.random_);
+    c.open_ = found->open_;
+    c.most_arrivals_ = found->attempts_;
+    c.context_.repeatable_ = found->repetition_ == repetition::repeatable;
+    c.context_.objective_ = found->objective_;
+    c.needs_idempotency_key_ = found->repetition_ == repetition::once_per_key;
+    instant const latest = c.since_ + found->timeout_;
     c.deadline_ = c.parent_ ? std::min(c.deadline_, latest) : latest;
     if (!c.parent_)
-        c.context_.rank_ = rule.rank_;
-    if (!rule.open_)
-        return p;
+        c.context_.rank_ = rank_of(*found);
     // An open route needs neither a key nor a lease.
-    if (!c.parent_)
+    if (!c.parent_ && c.open_)
         c.context_.account_ = account_name{};
     return p;
 }
 
-namespace
-{
-
-bool is_open(passage const& p)
-{
-    request const& r = p.call_.request_;
-    route const* found =
-        find_route(p.state_.configuration_, r.method_, r.path_);
-    return found && found->rule_.open_;
-}
-
-} // namespace
-
 passage check_freshness(passage p)
 {
     bool const admitted_before = p.call_.parent_.has_value();
     if (admitted_before || is_fresh(p.state_.configuration_, p.at_.now_) ||
-        is_open(p))
+        p.call_.open_)
         return p;
     return refuse(
         std::move(p), refusal_reason::no_fresh_configuration, lease_retry);
 }
 
+namespace
+{
+
+passage take_account(passage p, account_name const& owner)
+{
+    auto const known = p.state_.configuration_.accounts_.find(owner);
+    if (known == p.state_.configuration_.accounts_.end())
+        return refuse(std::move(p), refusal_reason::key_unknown);
+    p.call_.context_.account_ = owner;
+    if (known->second.rank_)
+        p.call_.context_.rank_ = below_begun_work(*known->second.rank_);
+    return p;
+}
+
+} // namespace
+
 passage authenticate(passage p)
 {
-    if (is_open(p))
+    if (p.call_.open_)
         return p;
     if (p.call_.parent_)
     {
@@ -87,6 +124,9 @@
     std::string const text = presented_text(p.call_.request_.headers_);
     if (text.empty())
         return refuse(std::move(p), refusal_reason::key_missing);
+    if (account_name const* owner =
+            find_account(p.state_.configuration_, text))
+        return take_account(std::move(p), *owner);
     std::optional<presented_key> const key = parse_key(text);
     key_v1 const* known =
         key ? find_key(p.state_.configuration_, *key) : nullptr;
@@ -95,10 +135,7 @@
     if (!known || !equal_in_constant_time(
                       hash_secret(key->secret_, known->salt_), known->hash_))
         return refuse(std::move(p), refusal_reason::key_unknown);
-    if (!p.state_.configuration_.accounts_.contains(known->account_))
-        return refuse(std::move(p), refusal_reason::key_unknown);
-    p.call_.context_.account_ = known->account_;
-    return p;
+    return take_account(std::move(p), known->account_);
 }
 
 passage check_suspect(passage p)
--- a/packages/calls/jackdawhall/calls/check_request.cpp
+++ b/packages/calls/jackdawhall/calls/check_request.cpp
@@ -53,16 +53,31 @@
 passage start_root(passage p)
 {
     p.call_.context_.root_ = root_id(p.call_, p.state_.random_);
+    p.call_.context_.caller_ = p.state_.settings_.beside_;
     p.call_.retries_left_ = p.state_.settings_.retries_;
     return p;
 }
 
 } // namespace
 
+std::string virtual_host_of(request const& r)
+{
+    std::string host = find_header(r.headers_, "host");
+    host.resize(std::min(host.size(), host.find(':')));
+    std::transform(
+        host.begin(), host.end(), host.begin(),
+        [](char c) { return c >= 'A' && c <= 'Z' ? char(c + 32) : c; });
+    return host;
+}
+
 passage bound_request(passage p)
 {
     request const& r = p.call_.request_;
-    if (p.state_.stopping_ && find_header(r.headers_, ticket_header).empty())
+    bool const stopped =
+        p.state_.stopping_ &&
+        p.at_.now_ >=
+            *p.state_.stopping_ + p.state_.settings_.stop_times_.accept_;
+    if (stopped && find_header(r.headers_, ticket_header).empty())
         return refuse(
             std::move(p), refusal_reason::stopping, std::chrono::seconds(1));
     if (p.state_.calls_.size() >= max_calls)
@@ -125,11 +140,12 @@
     std::string const key =
         find_header(c.request_.headers_, idempotency_header);
     std::string const identity = c.context_.account_.str() + "|" +
+                                 c.context_.caller_.str() + "|" +
                                  c.request_.method_ + "|" + c.request_.path_ +
                                  "|" + key + "|";
     c.suspect_ =
         fingerprint(key.empty() ? identity + c.request_.body_ : identity);
-    if (c.context_.repeatable_)
+    if (!c.needs_idempotency_key_)
         return p;
     if (key.empty())
         return refuse(std::move(p), refusal_reason::idempotency_key_missing);
--- a/packages/calls/jackdawhall/calls/configuration.cpp
+++ b/packages/calls/jackdawhall/calls/configuration.cpp
@@ -18,11 +18,53 @@
             [](account_v2 const& a) -> std::optional<account> {
                 return account{a.milli_rate_, a.burst_, a.retry_percent_};
             },
+            [](account_v3 const& a) -> std::optional<account> {
+                return account{
+                    a.milli_rate_, a.burst_, 0, a.rank_, shared_rate{}};
+            },
             [](auto const&) -> std::optional<account> { return std::nullopt; },
         },
         body);
 }
 
+std::optional<route> as_route(std::string const& name, record_body const& body)
+{
+    return std::visit(
+        overloaded{
+            [&](route_v1 const& r) -> std::optional<route>
+            {
+                route made;
+                made.name_ = name;
+                made.method_ = r.method_;
+                made.path_prefix_ = r.path_prefix_;
+                made.services_ = {{r.service_, 1}};
+                made.rank_ = r.rank_;
+                made.open_ = r.open_;
+                made.repetition_ = r.repeatable_ ? repetition::repeatable
+                                                 : repetition::once_per_key;
+                made.timeout_ = std::chrono::milliseconds(r.timeout_ms_);
+                return made;
+            },
+            [&](route_v2 const& r) -> std::optional<route>
+            {
+                route made;
+                made.name_ = name;
+                made.virtual_host_ = r.virtual_host_;
+                made.path_prefix_ = r.path_prefix_;
+                made.services_ = r.services_;
+                made.rank_ = r.rank_;
+                made.open_ = r.open_;
+                made.repetition_ = r.repetition_;
+                made.timeout_ = std::chrono::milliseconds(r.timeout_ms_);
+                made.objective_ = std::chrono::milliseconds(r.objective_ms_);
+                made.attempts_ = static_cast<std::uint32_t>(r.attempts_);
+                return made;
+            },
+            [](auto const&) -> std::optional<route> { return std::nullopt; },
+        },
+        body);
+}
+
 // Records are in order of their schema, so that a newer one replaces an older.
 void derive_record(configuration& c, record const& r)
 {
@@ -32,8 +74,12 @@
         ++c.unused_;
         return;
     }
-    if (route_v1 const* rule = std::get_if<route_v1>(&r.body_))
-        c.routes_.push_back({r.key_.name_, *rule});
+    if (std::optional<route> made = as_route(r.key_.name_, r.body_))
+        c.routes_.push_back(std::move(*made));
+    if (key_v2 const* key = std::get_if<key_v2>(&r.body_))
+        c.keys_.emplace(r.key_.name_, key->account_);
+    if (limits_v1 const* limits = std::get_if<limits_v1>(&r.body_))
+        c.limits_ = *limits;
     std::optional<account> const a = as_account(r.body_);
     leaf::result<account_name> name = account_name::make(r.key_.name_);
     if (a && name)
@@ -44,6 +90,8 @@
 {
     c.routes_.clear();
     c.accounts_.clear();
+    c.keys_.clear();
+    c.limits_.reset();
     c.unused_ = 0;
     for (auto const& held : c.records_)
         derive_record(c, held.second);
@@ -51,17 +99,15 @@
         c.routes_.begin(), c.routes_.end(),
         [](route const& left, route const& right)
         {
-            std::string const& l = left.rule_.path_prefix_;
-            std::string const& r = right.rule_.path_prefix_;
-            if (l.size() != r.size())
-                return l.size() > r.size();
-            return !left.rule_.method_.empty() && right.rule_.method_.empty();
+            if (left.path_prefix_.size() != right.path_prefix_.size())
+                return left.path_prefix_.size() > right.path_prefix_.size();
+            return !left.method_.empty() && right.method_.empty();
         });
 }
 
-bool covers(route_v1 const& rule, std::string const& path)
+bool covers(route const& r, std::string const& path)
 {
-    std::string const& prefix = rule.path_prefix_;
+    std::string const& prefix = r.path_prefix_;
     if (path.compare(0, prefix.size(), prefix) != 0)
         return false;
     return path.size() == prefix.size() || prefix.back() == '/' ||
@@ -90,12 +136,12 @@
     return c;
 }
 
-configuration take_lease(configuration c, renewal_answer const& answer)
+configuration
+take_lease(configuration c, renewal_answer const& answer, duration lease)
 {
     if (!answer.confirmed_)
         return c;
-    duration const length =
-        freshness_lease - freshness_lease / clock_drift_divisor;
+    duration const length = lease - lease / clock_drift_divisor;
     instant const until =
         instant{duration{answer.stamp_}} - answer.age_ + length;
     if (!c.fresh_until_ || *c.fresh_until_ < until)
@@ -109,19 +155,28 @@
 }
 
 route const* find_route(
-    configuration const& c, std::string const& method, std::string const& path)
+    configuration const& c, std::string const& method,
+    std::string const& virtual_host, std::string const& path)
 {
     auto const found = std::find_if(
         c.routes_.begin(), c.routes_.end(),
         [&](route const& r)
         {
-            bool const fits =
-                r.rule_.method_.empty() || r.rule_.method_ == method;
-            return fits && covers(r.rule_, path);
+            return (r.method_.empty() || r.method_ == method) &&
+                   (r.virtual_host_.empty() ||
+                    r.virtual_host_ == virtual_host) &&
+                   covers(r, path);
         });
     return found == c.routes_.end() ? nullptr : &*found;
 }
 
+account_name const*
+find_account(configuration const& c, std::string const& key_text)
+{
+    auto const known = c.keys_.find(fingerprint(key_text));
+    return known == c.keys_.end() ? nullptr : &known->second;
+}
+
 key_v1 const* find_key(configuration const& c, presented_key const& key)
 {
     std::string const name = key.account_.str() + "/" + key.key_.str();
--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -61,7 +61,13 @@
     doubt_reason reason_ = doubt_reason::connection_lost;
     auto operator<=>(broken const&) const = default;
 };
-using backend_outcome = std::variant<answered, not_connected, broken>;
+struct turned_away // the server says that it did not run the request
+{
+    refusal_reason reason_ = refusal_reason::refused_by_server;
+    auto operator<=>(turned_away const&) const = default;
+};
+using backend_outcome =
+    std::variant<answered, not_connected, broken, turned_away>;
 
 struct backend_done
 {
@@ -80,8 +86,18 @@
     std::uint32_t connections_ = 1;
     server_state state_ = server_state::ready;
     std::vector<service_name> calls_; // services that it calls
+    // Order of what one server says: when this run of it started, by its own
+    // clock, and a count; 0: not told.
+    std::int64_t started_ = 0;
+    std::int64_t sequence_ = 0;
     auto operator<=>(announcement const&) const = default;
 };
+// A backend server says that it ends; what runs on it may finish.
+struct server_gone
+{
+    std::string server_id_;
+    auto operator<=>(server_gone const&) const = default;
+};
 // Whether a backend server still accepts connections.
 struct probed
 {
@@ -94,9 +110,17 @@
     auto operator<=>(stop_requested const&) const = default;
 };
 
+// The settings name other control hosts than before.
+struct control_hosts_named
+{
+    std::vector<host_name> hosts_;
+    auto operator<=>(control_hosts_named const&) const = default;
+};
+
 using input = std::variant<
     received, time_passed, caller_request, caller_left, undelivered, peer_lost,
-    backend_done, announcement, probed, stop_requested>;
+    backend_done, announcement, server_gone, probed, stop_requested,
+    control_hosts_named>;
 
 // --- Effects
 // ------------------------------------------------------------------
@@ -117,6 +141,9 @@
     endpoint address_;
     request request_;
     duration timeout_{0};
+    account_name account_; // empty: an open route
+    service_name caller_;  // empty: unknown
+    std::string root_;     // request id
     auto operator<=>(run_on_backend const&) const = default;
 };
 // Close the run's connection; backend_done still follows.
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -201,7 +201,8 @@
         {deadline_header, std::to_string(left.count() / 1000)});
     w.effects_.push_back(run_on_backend{
         number, run.server_id_, server.announcement_.address_, std::move(sent),
-        run.context_.repeatable_ ? left : left + outcome_wait});
+        run.context_.repeatable_ ? left : left + outcome_wait,
+        run.context_.account_, run.context_.caller_, run.context_.root_});
 }
 
 std::size_t longest_queue(local_server const& server)
@@ -269,6 +270,21 @@
         probe_server{server.announcement_.id_, server.announcement_.address_});
 }
 
+void learn_limit(work const& w, local_server& server, gate_run const& run)
+{
+    std::visit(
+        overloaded{
+            [&](learnt_limit const&)
+            {
+                server.limiter_ = take_latency(
+                    server.limiter_, own_latency(run, w.at_.now_),
+                    server.running_.size() + 1, w.at_.now_);
+            },
+            [](announced_slots const&) {},
+        },
+        w.state_.settings_.admission_);
+}
+
 } // namespace
 
 work admit(work w, host_name const& entry, forward const& f)
@@ -325,9 +341,7 @@
             [&](answered const& a)
             {
                 if (here)
-                    server->second.limiter_ = take_latency(
-                        server->second.limiter_, own_latency(run, w.at_.now_),
-                        server->second.running_.size() + 1, w.at_.now_);
+                    learn_limit(w, server->second, run);
                 bool const shed = a.answer_.status_ == 503 && !run.call_failed_;
                 reply(w, run, ran{a.answer_}, shed);
             },
@@ -337,6 +351,14 @@
                 if (here && n.server_failed_)
                     probe(w, server->second);
             },
+            [&](turned_away const& t)
+            {
+                reply(w, run, not_run{t.reason_}, false);
+                if (here && t.reason_ == refusal_reason::server_replaced)
+                    w = drop_server(
+                        std::move(w), run.server_id_,
+                        refusal_reason::server_replaced);
+            },
             [&](broken const& b)
             {
                 doubt_reason const reason =
--- a/packages/calls/jackdawhall/calls/helpers.cpp
+++ b/packages/calls/jackdawhall/calls/helpers.cpp
@@ -19,9 +19,9 @@
 
 host_name leader_host(state const& s)
 {
-    if (!s.control_.leader_.empty() || s.settings_.control_hosts_.empty())
+    if (!s.control_.leader_.empty() || s.control_.hosts_.empty())
         return s.control_.leader_;
-    return s.settings_.control_hosts_.at(s.control_.current_);
+    return s.control_.hosts_.at(s.control_.current_);
 }
 
 call_number next_number(state& s)
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -71,6 +71,9 @@
         overloaded{
             [](not_run const& r) -> reason
             {
+                if (r.reason_ == refusal_reason::refused_by_server ||
+                    r.reason_ == refusal_reason::server_replaced)
+                    return retry_reason::refused_by_server;
                 if (r.reason_ == refusal_reason::connect_failed)
                     return retry_reason::connect_failed;
                 if (is_refusal_to_retry(r.reason_))
@@ -109,8 +112,38 @@
     return known == s.retry_credits_.end() ? most_credits : known->second;
 }
 
+// Of a route that bounds its attempts. A try that reached no server is free,
+// up to a bound: it adds no load to any.
+bool may_try_again(state const& s, entry_call const& c, verdict const& v)
+{
+    if (!reached_server(v))
+        return c.refused_tries_ < most_refused_tries;
+    return c.arrivals_ < c.most_arrivals_ && s.retry_allowance_ >= 1;
+}
+
 } // namespace
 
+bool reached_server(verdict const& v)
+{
+    not_run const* r = std::get_if<not_run>(&v);
+    return !r || r->reason_ == refusal_reason::refused_by_server ||
+           r->reason_ == refusal_reason::server_replaced;
+}
+
+entry_call pay_for_retry(state& s, entry_call c, verdict const& v)
+{
+    if (c.most_arrivals_ == 0)
+    {
+        --c.retries_left_;
+        s.retry_credits_[c.context_.account_] -= 1;
+    }
+    else if (reached_server(v))
+        s.retry_allowance_ -= 1;
+    else
+        ++c.refused_tries_;
+    return c;
+}
+
 state learn(state s, forwarded const& f, forward_answer const& a, instant now)
 {
     evidence& e = s.evidence_[key_of(f.server_)];
@@ -126,7 +159,8 @@
         overloaded{
             [&](not_run const& r)
             {
-                if (r.reason_ == refusal_reason::connect_failed)
+                if (r.reason_ == refusal_reason::connect_failed ||
+                    r.reason_ == refusal_reason::refused_by_server)
                     fail(e, now);
             },
             [&](may_have_run const& r)
@@ -145,17 +179,26 @@
     instant now)
 {
     std::optional<retry_reason> const why = reason_to_retry(c, v, shed);
-    if (!why || c.retries_left_ == 0 || c.waiters_.empty())
-        return std::nullopt;
-    if (credits_of(s, c.context_.account_) < 1)
+    bool const allowed = c.most_arrivals_ != 0
+                             ? may_try_again(s, c, v)
+                             : c.retries_left_ > 0 &&
+                                   credits_of(s, c.context_.account_) >= 1;
+    if (!why || !allowed || c.waiters_.empty())
         return std::nullopt;
     if (now + usual_latency(s, c) >= c.deadline_)
         return std::nullopt;
     return why;
 }
 
-void earn_credit(state& s, account_name const& account)
+void earn_credit(state& s, entry_call const& c)
 {
+    account_name const& account = c.context_.account_;
+    if (c.most_arrivals_ != 0)
+    {
+        retry_allowance const& r = s.settings_.retry_allowance_;
+        s.retry_allowance_ = std::min(r.most_, s.retry_allowance_ + r.earned_);
+        return;
+    }
     auto const known = s.configuration_.accounts_.find(account);
     double const percent =
         known == s.configuration_.accounts_.end()
--- a/packages/calls/jackdawhall/calls/passage.hpp
+++ b/packages/calls/jackdawhall/calls/passage.hpp
@@ -48,6 +48,8 @@
 passage check_suspect(passage p);
 // Takes a token of the account's rate.
 passage take_token(passage p);
+// Takes a part of the account's shared rate, or waits for it a little.
+passage take_share(passage p);
 // Takes the claim for a request that may not be repeated.
 passage take_claim(passage p);
 // Chooses a backend server.
@@ -59,8 +61,12 @@
 
 // Learns from a gate's answer about its server.
 state learn(state s, forwarded const& f, forward_answer const& a, instant now);
-// Earns the account its part of a retry for a first try.
-void earn_credit(state& s, account_name const& account);
+// Earns a part of a retry for a first try.
+void earn_credit(state& s, entry_call const& c);
+// Says whether a try that ended in `v` may have arrived at a backend server.
+bool reached_server(verdict const& v);
+// Takes the retry after `v` from what the call, its account or all may spend.
+entry_call pay_for_retry(state& s, entry_call c, verdict const& v);
 // Says why the call should be tried again after `v`; nothing if it should not.
 std::optional<retry_reason> decide_retry(
     state const& s, entry_call const& c, verdict const& v, bool shed,
@@ -97,6 +103,13 @@
 // when the current one is silent or isolated.
 work renew(work w);
 work take_renewal_answer(work w, host_name const& from, renewal_answer a);
+// A server that ends gets no new work; what it runs may finish.
+work end_server(work w, server_gone const& gone);
+// Takes other control hosts from the settings.
+work name_control_hosts(work w, control_hosts_named const& named);
+// What this daemon's accounts asked for lately.
+std::vector<account_demand> recent_demand(state const& s, instant now);
+void take_shares(state& s, renewal_answer const& a);
 work take_grant(work w, grant_response const& r);
 // Returns idle tokens and asks again for waiting calls.
 work tend_tokens(work w);
@@ -116,6 +129,12 @@
 passage refuse(passage p, refusal_reason reason, duration retry_after = {});
 passage doubt(passage p, doubt_reason reason);
 
+// Host that a request names, in lower case and without a port.
+std::string virtual_host_of(request const& r);
+
+// Rank of work that has not begun.
+rank below_begun_work(rank r);
+
 // Host of the leader of the control hosts; the current control host if the
 // leader is unknown.
 host_name leader_host(state const& s);
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -66,14 +66,14 @@
     c.forward_.reset();
     c.retries_left_ += std::min(a.retries_unused_, f.lent_retries_);
     s = learn(std::move(s), f, a, w.at_.now_);
+    c.arrivals_ += reached_server(a.verdict_) ? 1 : 0;
     std::optional<retry_reason> const again =
         decide_retry(s, c, a.verdict_, a.shed_, w.at_.now_);
     if (!again)
         return finish_call(std::move(w), std::move(c), std::move(a.verdict_));
     ++s.counters_.retries_[static_cast<std::size_t>(*again)];
-    --c.retries_left_;
+    c = pay_for_retry(s, std::move(c), a.verdict_);
     c.losses_ += std::holds_alternative<may_have_run>(a.verdict_) ? 1 : 0;
-    s.retry_credits_[c.context_.account_] -= 1;
     c.next_filter_ = first_filter_of_retry;
     return advance(std::move(w), std::move(c));
 }
@@ -272,8 +272,11 @@
     state& s = w.state_;
     if (!s.stopping_ || s.stopped_)
         return w;
-    bool const late = w.at_.now_ - *s.stopping_ >= stop_bound;
-    bool const announced = w.at_.now_ - *s.stopping_ >= renewal_interval;
+    stop_times const& times = s.settings_.stop_times_;
+    duration const since = w.at_.now_ - *s.stopping_;
+    bool const late = since >= times.finish_;
+    bool const announced =
+        since >= std::max(s.settings_.renewal_interval_, times.accept_);
     if (!late && (!announced || has_work(s) || !s.releases_.empty()))
         return w;
     s.stopped_ = true;
@@ -346,7 +349,10 @@
             [&](peer_lost& l) { w = lose_peer(std::move(w), l); },
             [&](backend_done& d) { w = finish_run(std::move(w), d); },
             [&](announcement& a) { w = take_announcement(std::move(w), a); },
+            [&](server_gone& g) { w = end_server(std::move(w), g); },
             [&](probed& p) { w = take_probe(std::move(w), p); },
+            [&](control_hosts_named& n)
+            { w = name_control_hosts(std::move(w), n); },
             [&](stop_requested&) { w = begin_stop(std::move(w)); },
         },
         in);
@@ -363,12 +369,15 @@
     made.configuration_.newest_schema_ = made.settings_.newest_schema_;
     made.control_.renewal_due_ = now;
     made.control_.answered_ = now;
+    made.control_.hosts_ = made.settings_.control_hosts_;
     return made;
 }
 
 instant next_due(state const& s)
 {
-    instant due = s.control_.renewal_due_;
+    instant due = s.control_.hosts_.empty() ? s.control_.renewal_due_ +
+                                                  std::chrono::hours(1)
+                                            : s.control_.renewal_due_;
     if (!s.call_due_.empty())
         due = std::min(due, s.call_due_.begin()->first);
     if (!s.run_due_.empty())
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -4,6 +4,7 @@
 #include <jackdawhall/calls/passage.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace jackdawhall::calls
 {
@@ -12,7 +13,10 @@
 {
 
 // A control host whose knowledge is older than this is as good as silent.
-constexpr duration stale_knowledge = std::chrono::milliseconds(2500);
+duration stale_knowledge(settings const& s)
+{
+    return s.control_timeout_ * 5 / 3;
+}
 
 backend_server
 as_server(settings const& here, announcement const& a, bool stopping)
@@ -43,22 +47,83 @@
             s.settings_, local.second.announcement_, s.stopping_.has_value()));
     r.wanted_.assign(s.wanted_.begin(), s.wanted_.end());
     r.membership_version_ = s.control_.membership_version_;
+    r.demand_ = recent_demand(s, now);
     return r;
 }
 
+void go_to_control_host(control_link& link, std::size_t index, instant now)
+{
+    link.current_ = index;
+    link.changed_ = now;
+    link.answered_ = now;
+    link.membership_version_ = 0;
+}
+
 void leave_silent_control_host(work& w)
 {
     control_link& link = w.state_.control_;
-    std::vector<host_name> const& hosts = w.state_.settings_.control_hosts_;
-    if (w.at_.now_ - link.answered_ < control_timeout)
+    instant const now = w.at_.now_;
+    if (now - link.answered_ < w.state_.settings_.control_timeout_)
         return;
-    host_name const left = hosts.at(link.current_);
-    link.current_ = (link.current_ + 1) % hosts.size();
-    link.answered_ = w.at_.now_;
-    link.membership_version_ = 0;
+    host_name const left = link.hosts_.at(link.current_);
+    go_to_control_host(link, (link.current_ + 1) % link.hosts_.size(), now);
     w.effects_.push_back(note{
         "control host " + left.str() + " is silent or cut off; goes on with " +
-        hosts.at(link.current_).str()});
+        link.hosts_.at(link.current_).str()});
+}
+
+// Own availability zone, then own region, then the others.
+int distance(location const& here, location const& there)
+{
+    if (here == there)
+        return 0;
+    return here.region_ == there.region_ ? 1 : 2;
+}
+
+// Takes the control hosts that an answer names, the nearest first. The hosts
+// in the settings stay as a last resort.
+void take_control_hosts(state& s, std::vector<located_host> named, instant now)
+{
+    control_link& link = s.control_;
+    if (!s.settings_.learns_control_hosts_ || named.empty())
+        return;
+    location const& here = s.settings_.location_;
+    // Hosts equally near are taken in an order of each daemon's own.
+    std::rotate(
+        named.begin(),
+        named.begin() + static_cast<long>(s.incarnation_ % named.size()),
+        named.end());
+    std::stable_sort(
+        named.begin(), named.end(),
+        [&](located_host const& left, located_host const& right) {
+            return distance(here, left.location_) <
+                   distance(here, right.location_);
+        });
+    host_name const current = link.hosts_.at(link.current_);
+    link.hosts_.clear();
+    for (located_host const& h : named)
+        link.hosts_.push_back(h.host_);
+    link.preferred_ = static_cast<std::size_t>(std::count_if(
+        named.begin(), named.end(),
+        [&](located_host const& h)
+        {
+            return distance(here, h.location_) ==
+                   distance(here, named.front().location_);
+        }));
+    for (host_name const& seed : s.settings_.control_hosts_)
+    {
+        if (std::find(link.hosts_.begin(), link.hosts_.end(), seed) ==
+            link.hosts_.end())
+            link.hosts_.push_back(seed);
+    }
+    auto const at = std::find(link.hosts_.begin(), link.hosts_.end(), current);
+    if (at == link.hosts_.end())
+        return go_to_control_host(link, 0, now);
+    link.current_ = static_cast<std::size_t>(at - link.hosts_.begin());
+    bool const returns = link.current_ >= link.preferred_ &&
+                         now - link.changed_ >= control_return;
+    if (returns)
+        go_to_control_host(link, 0, now);
 }
 
 void take_servers(state& s, service_servers const& update, instant now)
@@ -101,6 +166,22 @@
     return old->first;
 }
 
+// An announcement that came late: a newer one of the same server, or one of
+// the server that took its address since, is known.
+bool is_outdated(state const& s, announcement const& a)
+{
+    return std::any_of(
+        s.locals_.begin(), s.locals_.end(),
+        [&](auto const& local)
+        {
+            announcement const& known = local.second.announcement_;
+            if (local.first == a.id_)
+                return std::pair{a.started_, a.sequence_} <
+                       std::pair{known.started_, known.sequence_};
+            return known.address_ == a.address_ && a.started_ < known.started_;
+        });
+}
+
 void refuse_queued(work& w, std::string const& id)
 {
     local_server const server = w.state_.locals_.at(id);
@@ -126,14 +207,13 @@
 work renew(work w)
 {
     state& s = w.state_;
-    if (w.at_.now_ < s.control_.renewal_due_ ||
-        s.settings_.control_hosts_.empty())
+    if (w.at_.now_ < s.control_.renewal_due_ || s.control_.hosts_.empty())
         return w;
     leave_silent_control_host(w);
-    s.control_.renewal_due_ = w.at_.now_ + renewal_interval;
+    s.control_.renewal_due_ = w.at_.now_ + s.settings_.renewal_interval_;
     s.control_.renewal_stamp_ = w.at_.now_.time_since_epoch().count();
     tell(
-        w, s.settings_.control_hosts_.at(s.control_.current_),
+        w, s.control_.hosts_.at(s.control_.current_),
         make_renewal(s, w.at_.now_));
     return w;
 }
@@ -144,10 +224,12 @@
     if (a.incarnation_ != s.incarnation_)
         return w;
     s.configuration_ = apply_update(std::move(s.configuration_), a.update_);
-    s.configuration_ = take_lease(std::move(s.configuration_), a);
-    if (from != s.settings_.control_hosts_.at(s.control_.current_))
+    s.configuration_ = take_lease(
+        std::move(s.configuration_), a, s.settings_.freshness_lease_);
+    if (s.control_.hosts_.empty() ||
+        from != s.control_.hosts_.at(s.control_.current_))
         return w;
-    if (a.confirmed_ && a.age_ < stale_knowledge)
+    if (a.confirmed_ && a.age_ < stale_knowledge(s.settings_))
         s.control_.answered_ = w.at_.now_;
     if (!a.leader_.empty())
         s.control_.leader_ = a.leader_;
@@ -155,17 +237,30 @@
         s.control_.membership_version_ = a.membership_version_;
     for (service_servers const& update : a.services_)
         take_servers(s, update, w.at_.now_);
+    take_shares(s, a);
+    take_control_hosts(s, std::move(a.control_hosts_), w.at_.now_);
     return w;
 }
 
 work take_announcement(work w, announcement const& a)
 {
     state& s = w.state_;
+    if (is_outdated(s, a))
+        return w;
+    auto const before = s.locals_.find(a.id_);
+    if (before != s.locals_.end() &&
+        before->second.announcement_.started_ < a.started_)
+        // The same id in another run of the server: nothing learnt still holds.
+        w = drop_server(std::move(w), a.id_, refusal_reason::no_server);
     if (std::optional<std::string> const old = replaced_by(s, a))
         w = take_probe(std::move(w), {*old, false});
     auto const [known, fresh] = w.state_.locals_.try_emplace(a.id_);
     local_server& server = known->second;
-    bool const changed = fresh || server.announcement_ != a;
+    bool const changed =
+        fresh || server.announcement_.state_ != a.state_ ||
+        server.announcement_.slots_ != a.slots_ ||
+        server.announcement_.service_ != a.service_ ||
+        server.announcement_.address_ != a.address_;
     if (fresh)
     {
         server.first_heard_ = w.at_.now_;
@@ -186,12 +281,37 @@
     return w;
 }
 
+work end_server(work w, server_gone const& gone)
+{
+    auto const known = w.state_.locals_.find(gone.server_id_);
+    if (known == w.state_.locals_.end())
+        return w;
+    announcement last = known->second.announcement_;
+    // Whatever it said before may still come.
+    last.sequence_ = std::numeric_limits<std::int64_t>::max();
+    last.state_ = server_state::draining;
+    return take_announcement(std::move(w), last);
+}
+
+work name_control_hosts(work w, control_hosts_named const& named)
+{
+    state& s = w.state_;
+    s.settings_.control_hosts_ = named.hosts_;
+    for (host_name const& host : named.hosts_)
+    {
+        std::vector<host_name>& known = s.control_.hosts_;
+        if (std::find(known.begin(), known.end(), host) == known.end())
+            known.push_back(host);
+    }
+    return w;
+}
+
 work expire_announcements(work w)
 {
     std::vector<std::string> silent;
     for (auto const& [id, server] : w.state_.locals_)
     {
-        if (w.at_.now_ - server.heard_ > announcement_lifetime)
+        if (w.at_.now_ - server.heard_ > w.state_.settings_.announcement_lifetime_)
             silent.push_back(id);
     }
     for (std::string const& id : silent)
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -57,11 +57,51 @@
 // A call waits this long at most for a server of its service to be known.
 inline constexpr duration server_wait = std::chrono::milliseconds(500);
 inline constexpr duration server_poll = std::chrono::milliseconds(25);
-inline constexpr duration stop_bound = std::chrono::seconds(30);
+// Tries of a request that a gate refused without reaching its server.
+inline constexpr std::uint32_t most_refused_tries = 4;
+// A better control host is gone back to after this long.
+inline constexpr duration control_return = std::chrono::seconds(5);
 
 // --- Settings
 // -------------------------------------------------------------------
 
+// How many runs a gate allows its server at once.
+struct learnt_limit // from the server's latency
+{
+    auto operator<=>(learnt_limit const&) const = default;
+};
+struct announced_slots // as many as the server says that it has
+{
+    auto operator<=>(announced_slots const&) const = default;
+};
+using admission_policy = std::variant<learnt_limit, announced_slots>;
+
+// Retries of routes that bound their attempts. Each daemon earns a part of a
+// retry with each first try, so that all daemons together keep to a share of
+// the requests.
+struct retry_allowance
+{
+    double earned_ = 0.005; // for each first try
+    double most_ = 1;       // that may be saved up
+    auto operator<=>(retry_allowance const&) const = default;
+};
+
+// What a graceful stop may take.
+struct stop_times
+{
+    duration accept_{0}; // new calls are still taken for so long
+    duration finish_ = std::chrono::seconds(30); // all work must end by then
+    auto operator<=>(stop_times const&) const = default;
+};
+
+// What an account may exceed its shared rate by, over the whole fleet.
+struct rate_tolerance
+{
+    double share_ = 0;  // of the rate
+    double requests_ = 0; // beside that
+    auto operator<=>(rate_tolerance const&) const = default;
+};
+
 struct settings
 {
     host_name self_;
@@ -70,6 +110,17 @@
     std::vector<host_name> control_hosts_; // in order of preference
     std::uint32_t newest_schema_ = newest_known_schema;
     std::uint32_t retries_ = default_retries;
+    service_name beside_; // that runs on this host; empty: not told
+    // The control hosts named are a first hint; answers name the others.
+    bool learns_control_hosts_ = false;
+    duration freshness_lease_ = freshness_lease;
+    duration renewal_interval_ = renewal_interval;
+    duration control_timeout_ = control_timeout;
+    duration announcement_lifetime_ = announcement_lifetime;
+    admission_policy admission_ = learnt_limit{};
+    retry_allowance retry_allowance_;
+    rate_tolerance rate_tolerance_;
+    stop_times stop_times_;
     auto operator<=>(settings const&) const = default;
 };
 
@@ -139,6 +190,12 @@
     request request_;
     call_context context_;
     service_name service_;
+    bool open_ = false;     // needs no key
+    bool needs_idempotency_key_ = false;
+    bool token_promised_ = false; // for the instant at which it goes on
+    std::uint32_t most_arrivals_ = 0; // servers that it may reach; 0: any
+    std::uint32_t arrivals_ = 0;      // servers that it reached
+    std::uint32_t refused_tries_ = 0; // that reached no server
     std::string suspect_;   // fingerprint by which crashes are attributed
     std::string duplicate_; // key under which resends join; may be empty
     std::optional<call_number> parent_; // run that made this call
@@ -186,6 +243,17 @@
     auto operator<=>(holding const&) const = default;
 };
 
+// The part of an account's rate that this daemon may use.
+struct rate_bucket
+{
+    double tokens_ = 0; // below 0: promised to calls that wait
+    instant as_of_;
+    double share_ = 0;  // of the account's rate and burst; 0: not told yet
+    double demand_ = 0; // requests a second, a moving average
+    instant demand_as_of_;
+    auto operator<=>(rate_bucket const&) const = default;
+};
+
 // --- Routing
 // -------------------------------------------------------------------------
 
@@ -257,7 +325,10 @@
 
 struct control_link
 {
-    std::size_t current_ = 0; // index into settings::control_hosts_
+    std::vector<host_name> hosts_; // in order of preference
+    std::size_t preferred_ = 0;    // how many of hosts_ are nearest
+    std::size_t current_ = 0;      // index into hosts_
+    instant changed_;              // when current_ last changed
     instant renewal_due_;
     instant answered_; // last answer of the current control host
     host_name leader_;
@@ -324,7 +395,10 @@
     std::map<std::string, call_number> duplicates_;
     std::map<claim_id, call_number> claims_; // claims of calls in progress
     std::map<account_name, holding> holdings_;
+    std::map<account_name, rate_bucket> buckets_;
+    std::int64_t daemons_ = 0; // in the fleet, as last told; 0: unknown
     std::map<account_name, double> retry_credits_;
+    double retry_allowance_ = 0; // of routes that bound their attempts
     std::map<claim_id, recent_verdict> recent_;
     std::deque<claim_id> recent_order_;
     std::size_t recent_bytes_ = 0;
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -185,6 +185,12 @@
     account_name const account = p.call_.context_.account_;
     if (p.call_.parent_ || account.empty())
         return p;
+    auto const known = p.state_.configuration_.accounts_.find(account);
+    bool const shared =
+        known != p.state_.configuration_.accounts_.end() &&
+        std::holds_alternative<shared_rate>(known->second.policy_);
+    if (shared)
+        return take_share(std::move(p));
     work w{std::move(p.state_), std::move(p.effects_), p.at_};
     holding& h = w.state_.holdings_[account];
     bool const first_time = !p.call_.wake_ && p.call_.attempts_ == 0;
--- a/packages/control/jackdawhall/control/apply_change.cpp
+++ b/packages/control/jackdawhall/control/apply_change.cpp
@@ -43,6 +43,32 @@
     return std::nullopt;
 }
 
+problem check_route(route_v2 const& route)
+{
+    if (route.path_prefix_.empty() || route.path_prefix_.front() != '/')
+        return rejected{
+            "a route's path does not begin with '/'",
+            "write a path such as /payments/"};
+    if (route.virtual_host_.empty())
+        return rejected{"a route names no host", "name the host"};
+    if (route.services_.empty())
+        return rejected{"a route names no service", "name the service"};
+    for (weighted_service const& s : route.services_)
+    {
+        if (s.service_.empty() || s.weight_ < 0)
+            return rejected{
+                "a route has a service without a name or a weight below 0",
+                "name the service, and give it a weight of 0 or more"};
+    }
+    if (route.attempts_ < 1)
+        return rejected{
+            "a route allows no attempt", "allow 1 attempt or more"};
+    if (route.timeout_ms_ < 1)
+        return rejected{
+            "a route's timeout is not positive", "write at least 1 ms"};
+    return std::nullopt;
+}
+
 problem check_body(record_body const& body)
 {
     return std::visit(
@@ -66,6 +92,9 @@
                 return std::nullopt;
             },
             [](route_v1 const& route) { return check_route(route); },
+            [](account_v3 const& a)
+            { return check_rate(a.milli_rate_, a.burst_); },
+            [](route_v2 const& route) { return check_route(route); },
             [](auto const&) { return problem{}; },
         },
         body);
@@ -114,17 +143,6 @@
     return std::nullopt;
 }
 
-void remove_record(machine& m, record_key const& key)
-{
-    m.records_.erase(key);
-    m.removals_.push_back({key, m.revision_});
-    if (m.removals_.size() > max_removals)
-    {
-        m.oldest_removal_ = m.removals_.front().revision_;
-        m.removals_.pop_front();
-    }
-}
-
 void make_edits(machine& m, change const& c)
 {
     ++m.revision_;
@@ -137,26 +155,6 @@
     }
 }
 
-void remember_outcome(
-    machine& m, std::string const& operation_id, change_outcome const& outcome)
-{
-    m.outcomes_.emplace(operation_id, outcome);
-    m.operations_.push_back(operation_id);
-    if (m.operations_.size() > max_past_operations)
-    {
-        m.outcomes_.erase(m.operations_.front());
-        m.operations_.pop_front();
-    }
-}
-
-void remember_change(machine& m, change_command const& c)
-{
-    m.history_.push_back(
-        {m.revision_, c.when_, c.change_.author_, summarize(c.change_)});
-    if (m.history_.size() > max_history)
-        m.history_.pop_front();
-}
-
 } // namespace
 
 std::optional<rejected> check_edit(edit const& e)
@@ -190,7 +188,8 @@
     else
     {
         make_edits(m, wanted);
-        remember_change(m, c);
+        remember_change(
+            m, {m.revision_, c.when_, wanted.author_, summarize(wanted)});
         outcome = accepted{m.revision_};
     }
     remember_outcome(m, wanted.operation_id_, outcome);
--- a/packages/control/jackdawhall/control/apply_command.cpp
+++ b/packages/control/jackdawhall/control/apply_command.cpp
@@ -33,6 +33,8 @@
             { return apply_release(std::move(m), made); },
             [&](voters_command const& made)
             { return apply_voters(std::move(m), made); },
+            [&](document_command const& made)
+            { return apply_document(std::move(m), made); },
         },
         c);
 }
--- a/packages/control/jackdawhall/control/apply_command.hpp
+++ b/packages/control/jackdawhall/control/apply_command.hpp
@@ -33,6 +33,19 @@
 // stale expected revision is a conflict, and all edits are made or none.
 apply_step apply_change(machine m, change_command const& c);
 
+// Replaces the document, if it was made from the present one. A document that
+// was accepted before gets its first outcome, also when others followed it.
+apply_step apply_document(machine m, document_command const& c);
+
+// Operation id under which a document is known.
+std::string operation_of(document const& d);
+
+// Names the document in a conflict.
+record_key document_key();
+
+// Says what is wrong with a document as such; nothing if it can be applied.
+std::optional<rejected> check_document(document const& d);
+
 // Grants a claim once. The ledger's horizon only moves forward, and every key
 // older than the horizon is refused, so that forgetting a claim is safe.
 apply_step apply_claim(machine m, claim_command const& c);
--- a/packages/control/jackdawhall/control/change_voters.cpp
+++ b/packages/control/jackdawhall/control/change_voters.cpp
@@ -50,7 +50,8 @@
 {
     consensus_state& s = w.state_;
     s.blank_hosts_[m.voter_.host_] = {m.voter_, w.now_};
-    if (s.log_.last_index() == 0 && is_first(s) && all_are_blank(w))
+    if (s.log_.last_index() == 0 && s.settings_.first_start_ && is_first(s) &&
+        all_are_blank(w))
         write_first_entry(w, wall);
 }
 
@@ -66,6 +67,40 @@
     return voters;
 }
 
+std::optional<voter> find_dead_voter(work const& w)
+{
+    consensus_state const& s = w.state_;
+    leader const& l = std::get<leader>(s.role_);
+    std::optional<voter> dead;
+    std::size_t alive = 0;
+    for (voter const& v : s.log_.voters())
+    {
+        auto const known = l.peers_.find(v);
+        bool const silent =
+            v != s.self_ && (known == l.peers_.end() ||
+                             w.now_ - known->second.heard_ > dead_voter_silence);
+        if (silent)
+            dead = v;
+        else
+            ++alive;
+    }
+    std::size_t const left = s.log_.voters().size() - 1;
+    bool const safe = alive >= std::max(left / 2 + 1, s.settings_.copies_);
+    return safe ? dead : std::nullopt;
+}
+
+// Makes room for a host that joins; says whether it did.
+bool remove_dead_voter(work& w)
+{
+    consensus_state const& s = w.state_;
+    std::optional<voter> const dead = find_dead_voter(w);
+    if (!s.settings_.open_ || !dead || !may_change_voters(s))
+        return false;
+    say(w, "removes the silent voter " + dead->host_.str());
+    append_command(w, voters_command{without(s.log_.voters(), *dead), {}});
+    return true;
+}
+
 void remove_lost_disk(work& w, voter lost)
 {
     leader const& l = std::get<leader>(w.state_.role_);
@@ -96,7 +131,9 @@
         l.peers_.emplace(joining, p);
         return replicate_to(w, joining, true);
     }
-    if (known->second.match_ < s.commit_ || !may_change_voters(s))
+    known->second.heard_ = w.now_;
+    if (known->second.match_ < s.commit_ || !may_change_voters(s) ||
+        remove_dead_voter(w))
         return;
     std::vector<voter> voters = s.log_.voters();
     voters.push_back(joining);
@@ -132,8 +169,15 @@
 void handle(work& w, join_request const& m, wall_time wall)
 {
     consensus_state& s = w.state_;
-    if (!is_control_host(s, m.voter_.host_))
+    if (!s.settings_.open_ && !is_control_host(s, m.voter_.host_))
         return;
+    if (s.settings_.open_ && !s.log_.voters().empty())
+    {
+        std::set<host_name> const known = known_hosts(s);
+        send_to(
+            w, m.voter_.host_,
+            control_hosts_known{{known.begin(), known.end()}});
+    }
     if (m.blank_)
         note_blank_host(w, m, wall);
     if (!is_leader(s) || is_voter(s, m.voter_))
@@ -146,4 +190,25 @@
     add_when_caught_up(w, m.voter_);
 }
 
+void handle(work& w, control_hosts_known const& m)
+{
+    if (w.state_.settings_.open_)
+        w.state_.known_hosts_.insert(m.hosts_.begin(), m.hosts_.end());
+}
+
+void tend_voters(work& w)
+{
+    consensus_state& s = w.state_;
+    leader& l = std::get<leader>(s.role_);
+    std::erase_if(
+        l.peers_,
+        [&](auto const& peer)
+        {
+            return !is_voter(s, peer.first) &&
+                   w.now_ - peer.second.heard_ > joining_lifetime;
+        });
+    if (s.log_.voters().size() > enough_voters)
+        remove_dead_voter(w);
+}
+
 } // namespace jackdawhall::control::detail
--- a/packages/control/jackdawhall/control/consensus.cpp
+++ b/packages/control/jackdawhall/control/consensus.cpp
@@ -79,7 +79,7 @@
         return;
     s.join_due_ = w.now_ + join_interval;
     bool const blank = s.log_.last_index() == 0;
-    for (host_name const& host : s.settings_.control_hosts_)
+    for (host_name const& host : known_hosts(s))
     {
         if (host != s.settings_.self_)
             detail::send_to(w, host, join_request{s.self_, blank});
@@ -102,6 +102,7 @@
     if (w.now_ < l.next_heartbeat_)
         return;
     l.next_heartbeat_ = w.now_ + w.state_.settings_.heartbeat_;
+    detail::tend_voters(w);
     detail::replicate_all(w, true);
     step_down_when_alone(w);
 }
@@ -123,6 +124,8 @@
     s.durable_ = s.log_.last_index();
     s.random_ = random;
     s.incarnation_ = s.random_.next();
+    s.known_hosts_.insert(
+        s.settings_.control_hosts_.begin(), s.settings_.control_hosts_.end());
     s.quiet_until_ = now + s.settings_.election_min_;
     s.join_due_ = now;
     work w = begin(std::move(s), now);
@@ -221,6 +224,22 @@
         state.role_);
 }
 
+std::set<host_name> known_hosts(consensus_state const& state)
+{
+    std::set<host_name> hosts = state.known_hosts_;
+    for (voter const& v : state.log_.voters())
+        hosts.insert(v.host_);
+    return hosts;
+}
+
+std::set<host_name> serving_hosts(consensus_state const& state)
+{
+    std::set<host_name> hosts;
+    for (voter const& v : state.log_.voters())
+        hosts.insert(v.host_);
+    return hosts.empty() ? state.known_hosts_ : hosts;
+}
+
 bool holds_lease(consensus_state const& state, instant now)
 {
     leader const* l = std::get_if<leader>(&state.role_);
--- a/packages/control/jackdawhall/control/consensus.hpp
+++ b/packages/control/jackdawhall/control/consensus.hpp
@@ -29,7 +29,15 @@
 struct consensus_settings
 {
     host_name self_;
-    std::vector<host_name> control_hosts_; // every one, in order
+    std::vector<host_name> control_hosts_; // in order; see open_
+    // The control hosts named are only some, and others may join.
+    bool open_ = false;
+    // Whether this may be the first start of all; only then may a host without
+    // entries begin the log.
+    bool first_start_ = true;
+    // An entry counts once it is on a majority of the voters' disks and on so
+    // many.
+    std::size_t copies_ = 1;
     duration heartbeat_ = std::chrono::milliseconds(200);
     duration election_min_ = std::chrono::milliseconds(1000);
     duration election_max_ = std::chrono::milliseconds(2000);
@@ -117,6 +125,7 @@
     // anywhere before it is in the committed log here.
     std::optional<instant> confirmed_;
     std::map<host_name, blank_host> blank_hosts_;
+    std::set<host_name> known_hosts_; // control hosts, named or met
     random_source random_;
     auto operator<=>(consensus_state const&) const = default;
 };
@@ -145,7 +154,7 @@
 // Messages of the log.
 using consensus_message = std::variant<
     vote_request, vote_response, append_request, append_response,
-    install_snapshot, join_request>;
+    install_snapshot, join_request, control_hosts_known>;
 
 consensus_step
 receive(consensus_state state, consensus_message const& message, present at);
@@ -176,6 +185,12 @@
 // from a majority within the shortest election time, less the clocks' drift.
 bool holds_lease(consensus_state const& state, instant now);
 
+// The control hosts that this one knows of: the voters, and those named or met.
+std::set<host_name> known_hosts(consensus_state const& state);
+
+// The hosts of the voters; those named or met while there is none.
+std::set<host_name> serving_hosts(consensus_state const& state);
+
 // How long ago this host's knowledge was complete; nothing if unknown.
 std::optional<duration>
 knowledge_age(consensus_state const& state, instant now);
@@ -186,6 +201,13 @@
 // Interval between two join requests of a control host that is no voter.
 inline constexpr duration join_interval = std::chrono::milliseconds(500);
 
+// A voter that was silent for longer is replaced when another host joins, or
+// removed when more than this many voters are left without it.
+inline constexpr duration dead_voter_silence = std::chrono::milliseconds(2500);
+inline constexpr std::size_t enough_voters = 5;
+// A joining host that was silent for longer is forgotten.
+inline constexpr duration joining_lifetime = std::chrono::seconds(10);
+
 // A blank host heard of longer ago counts as unknown at the first start.
 inline constexpr duration blank_host_lifetime = std::chrono::seconds(3);
 
--- a/packages/control/jackdawhall/control/consensus_detail.hpp
+++ b/packages/control/jackdawhall/control/consensus_detail.hpp
@@ -42,11 +42,16 @@
 // Keeps the leader's peers in step with the voters of its log.
 void follow_voters(work& w);
 
+// Removes a dead voter when enough are left, and forgets hosts that were
+// joining and fell silent.
+void tend_voters(work& w);
+
 void handle(work& w, vote_request const& m);
 void handle(work& w, vote_response const& m);
 void handle(work& w, append_request const& m);
 void handle(work& w, append_response const& m);
 void handle(work& w, install_snapshot const& m);
 void handle(work& w, join_request const& m, wall_time wall);
+void handle(work& w, control_hosts_known const& m);
 
 } // namespace jackdawhall::control::detail
--- a/packages/control/jackdawhall/control/machine.cpp
+++ b/packages/control/jackdawhall/control/machine.cpp
@@ -39,6 +39,10 @@
             s.claims_.push_back({id, held.body_hash_, held.run_, held.holder_});
     }
     s.claims_horizon_ = m.claims_horizon_;
+    s.document_version_ = m.document_version_;
+    s.document_text_ = m.document_text_;
+    s.document_records_.assign(
+        m.document_records_.begin(), m.document_records_.end());
     return s;
 }
 
@@ -59,9 +63,43 @@
     for (claim const& c : s.claims_)
         add_claim(m, c);
     m.claims_horizon_ = s.claims_horizon_;
+    m.document_version_ = s.document_version_;
+    m.document_text_ = s.document_text_;
+    m.document_records_.insert(
+        s.document_records_.begin(), s.document_records_.end());
     return m;
 }
 
+void remove_record(machine& m, record_key const& key)
+{
+    m.records_.erase(key);
+    m.removals_.push_back({key, m.revision_});
+    if (m.removals_.size() > max_removals)
+    {
+        m.oldest_removal_ = m.removals_.front().revision_;
+        m.removals_.pop_front();
+    }
+}
+
+void remember_outcome(
+    machine& m, std::string const& operation_id, change_outcome const& outcome)
+{
+    m.outcomes_.emplace(operation_id, outcome);
+    m.operations_.push_back(operation_id);
+    if (m.operations_.size() > max_past_operations)
+    {
+        m.outcomes_.erase(m.operations_.front());
+        m.operations_.pop_front();
+    }
+}
+
+void remember_change(machine& m, past_change change)
+{
+    m.history_.push_back(std::move(change));
+    if (m.history_.size() > max_history)
+        m.history_.pop_front();
+}
+
 configuration_update update_since(machine const& m, revision have)
 {
     configuration_update update;
--- a/packages/control/jackdawhall/control/machine.hpp
+++ b/packages/control/jackdawhall/control/machine.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <jackdawhall/model.hpp>
@@ -49,6 +50,9 @@
     std::map<wall_time, std::map<claim_id, held_claim>> claims_;
     std::size_t claim_count_ = 0;
     wall_time claims_horizon_; // keys older than this are refused
+    std::int64_t document_version_ = 0; // 0: there is no document
+    std::string document_text_;
+    std::set<record_key> document_records_; // that came with it
     auto operator<=>(machine const&) const = default;
 };
 
@@ -59,6 +63,15 @@
 
 machine from_snapshot(snapshot const& s);
 
+// Removes a record and remembers that it did.
+void remove_record(machine& m, record_key const& key);
+
+// Keeps the outcome of an operation for its resends.
+void remember_outcome(
+    machine& m, std::string const& operation_id, change_outcome const& outcome);
+
+void remember_change(machine& m, past_change change);
+
 // What a daemon that has `have` needs to reach the machine's revision.
 configuration_update update_since(machine const& m, revision have);
 
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -33,9 +33,16 @@
     change change_;
     auto operator<=>(operator_change const&) const = default;
 };
+// A document that an operator gave to this host.
+struct operator_document
+{
+    std::uint64_t number_ = 0;
+    document document_;
+    auto operator<=>(operator_document const&) const = default;
+};
 
-using input =
-    std::variant<received, time_passed, stores_synced, operator_change>;
+using input = std::variant<
+    received, time_passed, stores_synced, operator_change, operator_document>;
 
 // --- State ------------------------------------------------------------------
 
@@ -78,7 +85,7 @@
 
 state make_state(
     consensus_settings settings, recovered disk, random_source random,
-    instant now);
+    instant now, location const& here = {});
 
 // --- The node
 // -----------------------------------------------------------------
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -38,6 +38,34 @@
     }
 }
 
+void take_document(passage& p, asker const& from, document const& wanted)
+{
+    state& s = p.state_;
+    std::optional<host_name> const leader = leader_of(s.consensus_);
+    std::optional<rejected> const wrong = check_document(wanted);
+    if (wrong)
+    {
+        answer(p, from, *wrong);
+    }
+    else if (is_leader(s.consensus_))
+    {
+        s.askers_.emplace(operation_of(wanted), from);
+        propose_commands(p, {document_command{wanted, p.at_.wall_}});
+    }
+    else if (leader && !from.host_)
+    {
+        s.askers_.emplace(operation_of(wanted), from);
+        p.effects_.push_back(send{
+            {*leader,
+             document_request{
+                 from.number_, s.consensus_.settings_.self_, wanted}}});
+    }
+    else
+    {
+        answer(p, from, unknown_outcome{"no leader among the control hosts"});
+    }
+}
+
 // The leader's answer to a change that this host handed on.
 void take_change_response(passage& p, change_response const& r)
 {
@@ -110,6 +138,10 @@
         take_change(p, {std::nullopt, o->number_, p.at_.now_}, o->change_);
     if (change_request const* r = received_as<change_request>(p))
         take_change(p, {r->asker_, r->number_, p.at_.now_}, r->change_);
+    if (operator_document const* o = std::get_if<operator_document>(&p.input_))
+        take_document(p, {std::nullopt, o->number_, p.at_.now_}, o->document_);
+    if (document_request const* r = received_as<document_request>(p))
+        take_document(p, {r->asker_, r->number_, p.at_.now_}, r->document_);
     if (change_response const* r = received_as<change_response>(p))
         take_change_response(p, *r);
     if (std::holds_alternative<time_passed>(p.input_))
--- a/packages/control/jackdawhall/control/replication.cpp
+++ b/packages/control/jackdawhall/control/replication.cpp
@@ -9,12 +9,15 @@
 namespace
 {
 
-// The value that a majority of `values` has reached; self counts among them.
+// The value that `count` of `values` have reached; self counts among them. The
+// least value there is if there are fewer.
 template <class Value>
-Value reached_by_majority(std::vector<Value> values)
+Value reached_by(std::vector<Value> values, std::size_t count)
 {
+    if (count > values.size())
+        return Value{};
     std::sort(values.begin(), values.end(), std::greater<Value>{});
-    return values[values.size() / 2];
+    return values[count - 1];
 }
 
 bool commits_own_term(consensus_state const& s)
@@ -118,7 +121,7 @@
             heard.push_back(
                 peer == l.peers_.end() ? instant{} : peer->second.acked_);
     }
-    return heard.empty() ? instant{} : reached_by_majority(std::move(heard));
+    return reached_by(std::move(heard), majority(state));
 }
 
 void append_command(work& w, command c)
@@ -192,7 +195,8 @@
             matches.push_back(
                 peer == l->peers_.end() ? 0 : peer->second.match_);
     }
-    log_index const reached = reached_by_majority(std::move(matches));
+    std::size_t const needed = std::max(majority(s), s.settings_.copies_);
+    log_index const reached = reached_by(std::move(matches), needed);
     if (reached <= s.commit_ || reached < l->first_own_)
         return;
     bool const changes = holds_change(s.log_, s.commit_ + 1, reached);
--- a/packages/control/jackdawhall/control/run_consensus.cpp
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -20,6 +20,7 @@
             [](append_response const& v) { return part{v}; },
             [](install_snapshot const& v) { return part{v}; },
             [](join_request const& v) { return part{v}; },
+            [](control_hosts_known const& v) { return part{v}; },
             [](auto const&) { return part{}; },
         },
         m);
@@ -86,6 +87,7 @@
                     p, disk_synced(std::move(c), synced.number_, p.at_.now_));
             },
             [](operator_change const&) {},
+            [](operator_document const&) {},
         },
         p.input_);
     return p;
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -26,6 +26,9 @@
     s.distribution_ = std::move(renewed);
     answer.membership_version_ = s.membership_.version_;
     answer.services_ = changed_services(s.membership_, r);
+    answer.control_hosts_ = live_control_hosts(s.membership_, now);
+    answer.shares_ = share_rates(s.membership_, r, now);
+    answer.daemons_ = count_daemons(s.membership_, now);
     p.effects_.push_back(send{{r.host_, std::move(answer)}});
 }
 
@@ -46,6 +49,12 @@
 passage exchange_membership(passage p)
 {
     membership& m = p.state_.membership_;
+    if (p.state_.consensus_.settings_.open_)
+    {
+        std::set<host_name> others = serving_hosts(p.state_.consensus_);
+        others.erase(m.self_);
+        m.others_.assign(others.begin(), others.end());
+    }
     membership_step step;
     if (membership_report const* r = received_as<membership_report>(p))
         step = take_report(std::move(m), *r, p.at_.now_);
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -120,9 +120,24 @@
         drop_origin(m, host);
 }
 
+void add_demand(membership const& m, membership_report& report)
+{
+    std::map<account_name, std::int64_t> demand;
+    for (auto const& daemon : m.attached_)
+    {
+        for (auto const& [account, rate] : daemon.second.demand_)
+            demand[account] += rate;
+    }
+    report.location_ = m.location_;
+    report.daemons_ = static_cast<std::int64_t>(m.attached_.size());
+    for (auto const& [account, rate] : demand)
+        report.demand_.push_back({account, rate});
+}
+
 membership_report whole_report(membership const& m)
 {
     membership_report report{m.self_, m.incarnation_, 0, m.reported_, {}, {}};
+    add_demand(m, report);
     for (auto const& server : own_servers(m))
         report.present_.push_back(server.second);
     return report;
@@ -132,6 +147,7 @@
 {
     membership_report report{
         m.self_, m.incarnation_, m.reported_, m.reported_, {}, {}};
+    add_demand(m, report);
     if (m.changed_.empty())
         return report;
     report.to_version_ = ++m.reported_;
@@ -176,7 +192,11 @@
 membership take_announcement(membership state, renewal const& r, instant now)
 {
     replace_attached(state, r.host_, r.servers_);
-    state.attached_[r.host_].heard_ = now;
+    attached_daemon& daemon = state.attached_[r.host_];
+    daemon.heard_ = now;
+    daemon.demand_.clear();
+    for (account_demand const& d : r.demand_)
+        daemon.demand_[d.account_] = d.milli_rate_;
     return state;
 }
 
@@ -219,9 +239,67 @@
     from.incarnation_ = report.incarnation_;
     from.version_ = report.to_version_;
     from.heard_ = now;
+    from.location_ = report.location_;
+    from.daemons_ = report.daemons_;
+    from.demand_.clear();
+    for (account_demand const& d : report.demand_)
+        from.demand_[d.account_] = d.milli_rate_;
     return step;
 }
 
+std::vector<rate_share>
+share_rates(membership const& state, renewal const& r, instant now)
+{
+    std::vector<rate_share> shares;
+    std::int64_t const daemons = std::max<std::int64_t>(
+        1, count_daemons(state, now));
+    for (account_demand const& own : r.demand_)
+    {
+        std::int64_t total = 0;
+        for (auto const& daemon : state.attached_)
+        {
+            auto const known = daemon.second.demand_.find(own.account_);
+            if (known != daemon.second.demand_.end())
+                total += known->second;
+        }
+        for (auto const& other : state.origins_)
+        {
+            auto const known = other.second.demand_.find(own.account_);
+            bool const fresh = now - other.second.heard_ < origin_silence;
+            if (fresh && known != other.second.demand_.end())
+                total += known->second;
+        }
+        std::int64_t const by_demand = 1'000'000 - even_parts_per_million;
+        std::int64_t const part =
+            total > 0 ? by_demand * own.milli_rate_ / total : 0;
+        shares.push_back(
+            {own.account_, part + even_parts_per_million / daemons});
+    }
+    return shares;
+}
+
+std::int64_t count_daemons(membership const& state, instant now)
+{
+    std::int64_t count = static_cast<std::int64_t>(state.attached_.size());
+    for (auto const& other : state.origins_)
+        count += now - other.second.heard_ < origin_silence
+                     ? other.second.daemons_
+                     : 0;
+    return count;
+}
+
+std::vector<located_host>
+live_control_hosts(membership const& state, instant now)
+{
+    std::vector<located_host> hosts{{state.self_, state.location_}};
+    for (auto const& [host, other] : state.origins_)
+    {
+        if (now - other.heard_ < origin_silence)
+            hosts.push_back({host, other.location_});
+    }
+    return hosts;
+}
+
 membership_step report_whole(membership state, membership_wanted const& wanted)
 {
     membership_step step{std::move(state), {}};
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -19,6 +19,12 @@
 // until then routing goes on with the last known set.
 inline constexpr duration origin_lifetime = std::chrono::seconds(30);
 inline constexpr duration report_interval = std::chrono::seconds(1);
+// A control host that was silent for longer is not named to daemons, and the
+// demand that it reported counts no more.
+inline constexpr duration origin_silence = std::chrono::seconds(4);
+// Part of each account's rate that is shared out evenly, so that a daemon can
+// serve an account that it did not meet before.
+inline constexpr std::int64_t even_parts_per_million = 200'000;
 
 // Host and id of a backend server.
 using server_key = std::pair<host_name, std::string>;
@@ -27,6 +33,7 @@
 {
     instant heard_;
     std::vector<backend_server> servers_;
+    std::map<account_name, std::int64_t> demand_; // milli-requests a second
     auto operator<=>(attached_daemon const&) const = default;
 };
 
@@ -37,6 +44,9 @@
     std::uint64_t version_ = 0;
     instant heard_;
     std::map<server_key, backend_server> servers_;
+    location location_;
+    std::int64_t daemons_ = 0;
+    std::map<account_name, std::int64_t> demand_; // of its daemons
     auto operator<=>(origin const&) const = default;
 };
 
@@ -51,6 +61,7 @@
 struct membership
 {
     host_name self_;
+    location location_;
     std::vector<host_name> others_; // the other control hosts
     std::uint64_t incarnation_ = 0;
     std::uint64_t version_ = 1; // raised by each change of any service
@@ -78,6 +89,17 @@
 changed_services(membership const& state, renewal const& r);
 
 // Takes another control host's report, or asks it for a whole one.
+// The part of each account's rate for which the daemon reported a demand.
+std::vector<rate_share>
+share_rates(membership const& state, renewal const& r, instant now);
+
+// Daemons heard of lately, by any control host.
+std::int64_t count_daemons(membership const& state, instant now);
+
+// This host and the other control hosts heard of lately.
+std::vector<located_host>
+live_control_hosts(membership const& state, instant now);
+
 membership_step
 take_report(membership state, membership_report const& report, instant now);
 
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -2,36 +2,14 @@
 
 #include <cstdlib>
 
+#include <jackdawhall/daemon/node_settings.hpp>
+
 namespace jackdawhall::daemon
 {
 
 namespace
 {
 
-calls::settings call_settings(settings::daemon_settings const& s)
-{
-    calls::settings made;
-    made.self_ = s.host_;
-    made.location_ = s.location_;
-    made.gate_ = s.peers_;
-    for (settings::control_host const& host : s.control_hosts_)
-        made.control_hosts_.push_back(host.host_);
-    made.newest_schema_ = s.newest_schema_;
-    made.retries_ = s.retries_;
-    return made;
-}
-
-control::consensus_settings
-consensus_settings(settings::daemon_settings const& s)
-{
-    control::consensus_settings made;
-    made.self_ = s.host_;
-    for (settings::control_host const& host : s.control_hosts_)
-        made.control_hosts_.push_back(host.host_);
-    std::sort(made.control_hosts_.begin(), made.control_hosts_.end());
-    return made;
-}
-
 // Number of a forward, by which a lost link tells what it may have carried.
 std::uint64_t tag_of(message const& m)
 {
@@ -51,6 +29,7 @@
             [](claim_released const&) { return false; },
             [](outcome_request const&) { return false; },
             [](outcome_response const&) { return false; },
+            [](control_hosts_known const&) { return true; },
             [](forward const&) { return false; },
             [](forward_answer const&) { return false; },
             [](cancel_forward const&) { return false; },
@@ -112,34 +91,15 @@
 
     backends_ = std::make_unique<loop::backend_client>(loop::backend_handlers{
         [this](std::uint64_t run, loop::backend_result result)
-        {
-            calls::backend_outcome outcome = std::visit(
-                overloaded{
-                    [](loop::backend_answered& a) -> calls::backend_outcome
-                    { return calls::answered{std::move(a.answer_)}; },
-                    [](loop::backend_not_connected& n) -> calls::backend_outcome
-                    { return calls::not_connected{n.server_failed_}; },
-                    [](loop::backend_broken& b) -> calls::backend_outcome
-                    { return calls::broken{b.reason_}; },
-                },
-                result);
-            give(calls::input{calls::backend_done{run, std::move(outcome)}});
-        },
+        { take_backend_result(run, std::move(result)); },
         [this](std::string const& server_id, bool alive) {
             give(calls::input{calls::probed{server_id, alive}});
         }});
 
-    callers_ = std::make_unique<loop::http_server>(
-        settings_.callers_, settings_.max_connections_,
-        loop::http_handlers{
-            [this](std::uint64_t number, request r, std::string const& remote)
-            { caller_request(number, std::move(r), remote); },
-            [this](std::uint64_t number)
-            {
-                request_began_.erase(number);
-                give(calls::input{calls::caller_left{number}});
-            }});
-    BOOST_LEAF_CHECK(callers_->listen("listen.callers"));
+    if (settings_.callers_.port_ != 0)
+        BOOST_LEAF_CHECK(start_own_front());
+    if (settings_.infrastructure_)
+        BOOST_LEAF_CHECK(start_infrastructure());
     operators_ = std::make_unique<loop::http_server>(
         settings_.operators_, settings_.max_connections_,
         loop::http_handlers{
@@ -154,10 +114,76 @@
         {
             log(severity::info, part::daemon, "stop signal received");
             give(calls::input{calls::stop_requested{}});
+            if (!settings_.call_)
+                loop_.quit();
         });
+    loop_.on_reload_signal([this] { reload(); });
+    return {};
+}
+
+leaf::result<void> daemon::start_own_front()
+{
+    callers_ = std::make_unique<loop::http_server>(
+        settings_.callers_, settings_.max_connections_,
+        loop::http_handlers{
+            [this](std::uint64_t number, request r, std::string const& remote)
+            { caller_request(number, std::move(r), remote); },
+            [this](std::uint64_t number)
+            {
+                request_began_.erase(number);
+                give(calls::input{calls::caller_left{number}});
+            }});
+    BOOST_LEAF_CHECK(callers_->listen("listen.callers"));
     return {};
 }
 
+void daemon::remember_settings_file(std::string path)
+{
+    settings_file_ = std::move(path);
+}
+
+// Only the control hosts named may change while a daemon runs.
+void daemon::reload()
+{
+    settings::checked_settings const read =
+        settings::read_settings(settings_file_);
+    for (settings::problem const& p : read.problems_)
+        log(severity::error, part::daemon, "settings not taken",
+            {{"problem", settings::to_text(settings_file_, p)}});
+    if (!read.problems_.empty())
+        return;
+    std::vector<host_name> hosts;
+    for (settings::control_host const& host : read.settings_.control_hosts_)
+    {
+        hosts.push_back(host.host_);
+        links_->set_address(host.host_, host.peers_);
+    }
+    log(severity::info, part::daemon, "settings read again",
+        {{"control_hosts", std::to_string(hosts.size())}});
+    give(control::input{received{
+        settings_.host_, control_hosts_known{hosts}}});
+    give(calls::input{calls::control_hosts_named{std::move(hosts)}});
+}
+
+void daemon::take_backend_result(std::uint64_t run, loop::backend_result result)
+{
+    calls::backend_outcome outcome = std::visit(
+        overloaded{
+            [&](loop::backend_answered& a) -> calls::backend_outcome
+            {
+                if (settings_.infrastructure_)
+                    return platform::from_backend(std::move(a.answer_));
+                return calls::answered{std::move(a.answer_)};
+            },
+            [](loop::backend_not_connected& n) -> calls::backend_outcome
+            { return calls::not_connected{n.server_failed_}; },
+            [](loop::backend_broken& b) -> calls::backend_outcome
+            { return calls::broken{b.reason_}; },
+        },
+        result);
+    give(calls::input{calls::backend_done{run, std::move(outcome)}});
+}
+
 leaf::result<void> daemon::start_control()
 {
     BOOST_LEAF_AUTO(
@@ -180,15 +206,15 @@
     }
     control_ = control::make_state(
         consensus_settings(settings_), std::move(disk), random,
-        loop::read_clocks().now_);
+        loop::read_clocks().now_, settings_.location_);
     return {};
 }
 
 int daemon::run()
 {
     log(severity::info, part::daemon, "started",
-        {{"callers", settings_.callers_.address_ + ":" +
-                         std::to_string(settings_.callers_.port_)},
+        {{"host", settings_.host_.str()},
+         {"call", settings_.call_ ? "yes" : "no"},
          {"control", settings_.control_ ? "yes" : "no"}});
     timer_fired();
     loop_.run();
@@ -239,6 +265,7 @@
     calls::node_step step =
         calls::run(std::move(calls_), std::move(in), loop::read_clocks());
     calls_ = std::move(step.state_);
+    follow_limits();
     for (calls::effect& e : step.effects_)
         carry_out(std::move(e));
 }
@@ -303,6 +330,9 @@
 
 void daemon::connect_address(host_name const& host, message const& m)
 {
+    // Hosts that are named by their address share one port for peers.
+    if (settings_.control_hosts_learnt_)
+        return links_->set_address(host, {host.str(), settings_.peers_.port_});
     forward const* f = std::get_if<forward>(&m);
     if (!f)
         return;
@@ -316,6 +346,15 @@
     }
 }
 
+void daemon::run_on_backend(calls::run_on_backend const& r)
+{
+    if (!settings_.infrastructure_)
+        return backends_->run(r.run_, r.address_, r.request_, r.timeout_);
+    backends_->run(
+        r.run_, r.address_, platform::to_backend(r), r.timeout_,
+        {platform::attempt_header(), r.root_, true});
+}
+
 void daemon::transmit(outgoing out)
 {
     if (out.to_.empty())
@@ -336,8 +375,7 @@
             [&](send& s) { transmit(std::move(s.outgoing_)); },
             [&](note& n) { log(severity::info, part::calls, n.text_); },
             [&](calls::answer_caller& a) { answer_http(a); },
-            [&](calls::run_on_backend& r)
-            { backends_->run(r.run_, r.address_, r.request_, r.timeout_); },
+            [&](calls::run_on_backend& r) { run_on_backend(r); },
             [&](calls::cancel_run& c) { backends_->cancel(c.run_); },
             [&](calls::probe_server& p)
             { backends_->probe(p.server_id_, p.address_); },
@@ -391,6 +429,15 @@
                     },
                     [&](control::answer_operator& a) -> leaf::result<void>
                     {
+                        auto const document = order_documents_.find(a.number_);
+                        if (document != order_documents_.end())
+                        {
+                            orders_->answer(
+                                document->second,
+                                platform::to_operator(a.outcome_));
+                            order_documents_.erase(document);
+                            return {};
+                        }
                         operator_changes_.erase(a.number_);
                         answer http{
                             200, {}, wire::to_json(a.outcome_).dump() + "\n"};
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -14,6 +14,7 @@
 #include <jackdawhall/daemon/log.hpp>
 #include <jackdawhall/daemon/metrics.hpp>
 #include <jackdawhall/loop.hpp>
+#include <jackdawhall/platform.hpp>
 #include <jackdawhall/settings.hpp>
 #include <jackdawhall/wire.hpp>
 
@@ -28,6 +29,9 @@
     // Opens the journal and all addresses. Fails with user_error.
     leaf::result<void> start();
 
+    // Says where the settings were read from, for reading them again.
+    void remember_settings_file(std::string path);
+
     // Runs until a stop signal and the graceful stop after it. Returns the exit
     // status of the process.
     int run();
@@ -41,6 +45,9 @@
     };
 
     leaf::result<void> start_control();
+    leaf::result<void> start_own_front();
+    leaf::result<void> start_infrastructure();
+    void reload();
 
     // Inputs.
     void give(calls::input in);
@@ -60,6 +67,8 @@
     // Effects of the call node.
     void carry_out(calls::effect e);
     void answer_http(calls::answer_caller const& a);
+    void run_on_backend(calls::run_on_backend const& r);
+    void take_backend_result(std::uint64_t run, loop::backend_result result);
 
     // Effects of the control node.
     void carry_out(control::effect e);
@@ -83,6 +92,15 @@
     answer ready() const;
     std::string metrics() const;
 
+    // The users' infrastructure.
+    void infrastructure_request(std::uint64_t number, request r);
+    void infrastructure_order(std::uint64_t number, request const& r);
+    void answer_order(std::uint64_t number, platform::order& o);
+    void take_document(std::uint64_t number, document d);
+    std::string document_text() const;
+    bool is_ready() const;
+    void follow_limits();
+
     [[noreturn]] void fail_disk(std::string const& what);
 
     settings::daemon_settings settings_;
@@ -93,7 +111,11 @@
     std::unique_ptr<loop::peer_links> links_;
     std::unique_ptr<loop::http_server> callers_;
     std::unique_ptr<loop::http_server> operators_;
+    std::unique_ptr<loop::http_server> orders_;    // of the infrastructure
+    std::unique_ptr<loop::http_server> readiness_; // of the infrastructure
     std::unique_ptr<loop::backend_client> backends_;
+    std::string settings_file_;
+    revision limits_as_of_ = 0; // revision whose limits the callers' side has
 
     std::deque<std::variant<calls::input, control::input>> inputs_;
     bool working_ = false;
@@ -105,6 +127,10 @@
 
     std::map<std::uint64_t, instant> request_began_;
     std::set<std::uint64_t> operator_changes_; // waiting for their outcome
+    // Documents that wait for their outcome: number at the control node, and
+    // at the server for orders.
+    std::map<std::uint64_t, std::uint64_t> order_documents_;
+    std::uint64_t last_document_ = 0;
     latency request_latency_;
     latency sync_latency_;
     bool stopped_ = false;
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -165,7 +165,11 @@
          {"account", a.account_.str()},
          {"revision", std::to_string(calls_.configuration_.revision_)},
          {"verdict", verdict_text(a.verdict_)}});
-    callers_->answer(a.number_, to_http(a.verdict_, a.root_));
+    if (settings_.infrastructure_)
+        callers_->answer(
+            a.number_, platform::to_caller(a.verdict_, a.root_));
+    else
+        callers_->answer(a.number_, to_http(a.verdict_, a.root_));
 }
 
 // Only a backend server on this very host may announce itself here.
@@ -346,10 +350,8 @@
 
 answer daemon::ready() const
 {
-    bool const fresh =
-        calls::is_fresh(calls_.configuration_, loop::read_clocks().now_);
     bool const stopping = calls_.stopping_.has_value();
-    if (fresh && !stopping)
+    if (is_ready())
         return json_answer(200, "{\"ready\":true}\n");
     return json_answer(
         503, stopping ? "{\"ready\":false,\"why\":\"stopping\"}\n"
--- a/packages/daemon/jackdawhall/daemon/http_answer.cpp
+++ b/packages/daemon/jackdawhall/daemon/http_answer.cpp
@@ -46,6 +46,8 @@
     case refusal_reason::stopping:
     case refusal_reason::cancelled:
     case refusal_reason::overloaded:
+    case refusal_reason::refused_by_server:
+    case refusal_reason::server_replaced:
         return 503;
     }
     return 503;
--- a/packages/daemon/jackdawhall/daemon/log.cpp
+++ b/packages/daemon/jackdawhall/daemon/log.cpp
@@ -84,7 +84,7 @@
 void set_up_log(settings::daemon_settings const& s)
 {
     current() = {s.host_.str(), s.log_format_ == settings::log_format::json};
-    std::shared_ptr<spdlog::logger> logger = spdlog::stderr_logger_st("main");
+    std::shared_ptr<spdlog::logger> logger = spdlog::stdout_logger_st("main");
     logger->set_level(spdlog::level::from_str(s.log_level_));
     logger->set_pattern(
         current().json_ ? "%v"
--- /dev/null
+++ b/packages/daemon/jackdawhall/daemon/node_settings.cpp
@@ -0,0 +1,80 @@
+#include <jackdawhall/daemon/node_settings.hpp>
+
+#include <algorithm>
+
+namespace jackdawhall::daemon
+{
+
+namespace
+{
+
+// A withdrawn key must be dead a little before the bound, since a request may
+// still be on its way to its server.
+constexpr duration revoke_margin = std::chrono::milliseconds(600);
+// Renewals for each bound in which a change must be in force.
+constexpr int renewals_in_force = 4;
+constexpr int control_timeouts_in_force = 2;
+// Backend servers say that they live every one or two seconds, some late.
+constexpr duration announcement_lifetime = std::chrono::seconds(8);
+// Part of the retries allowed to all that first tries earn: a retry makes
+// retries of the calls that its run makes.
+constexpr double earned_part = 0.025;
+// A graceful stop takes new calls for half of its grace, and leaves this much
+// of it for the end of the process.
+constexpr int accepting_divisor = 2;
+constexpr duration exit_margin = std::chrono::milliseconds(300);
+
+void take_infrastructure(calls::settings& to, settings::infrastructure const& i)
+{
+    duration const in_force = std::chrono::milliseconds(i.in_force_ms_);
+    to.beside_ = i.beside_;
+    to.freshness_lease_ =
+        std::chrono::milliseconds(i.revoke_ms_) - revoke_margin;
+    to.renewal_interval_ = in_force / renewals_in_force;
+    to.control_timeout_ = in_force / control_timeouts_in_force;
+    to.announcement_lifetime_ = announcement_lifetime;
+    to.admission_ = calls::announced_slots{};
+    to.retry_allowance_ = {i.retry_share_ * earned_part, 1};
+    to.rate_tolerance_ = {i.rate_overage_, i.rate_slack_};
+    duration const grace = std::chrono::seconds(i.grace_s_);
+    to.stop_times_ = {grace / accepting_divisor, grace - exit_margin};
+}
+
+} // namespace
+
+calls::settings call_settings(settings::daemon_settings const& s)
+{
+    calls::settings made;
+    made.self_ = s.host_;
+    made.location_ = s.location_;
+    made.gate_ = s.peers_;
+    // A control host without callers asks for nothing.
+    for (settings::control_host const& host : s.control_hosts_)
+    {
+        if (s.call_)
+            made.control_hosts_.push_back(host.host_);
+    }
+    made.newest_schema_ = s.newest_schema_;
+    made.retries_ = s.retries_;
+    made.learns_control_hosts_ = s.control_hosts_learnt_;
+    if (s.infrastructure_)
+        take_infrastructure(made, *s.infrastructure_);
+    return made;
+}
+
+control::consensus_settings
+consensus_settings(settings::daemon_settings const& s)
+{
+    control::consensus_settings made;
+    made.self_ = s.host_;
+    for (settings::control_host const& host : s.control_hosts_)
+        made.control_hosts_.push_back(host.host_);
+    std::sort(made.control_hosts_.begin(), made.control_hosts_.end());
+    made.open_ = s.control_hosts_learnt_;
+    made.first_start_ = s.first_start_;
+    if (s.infrastructure_)
+        made.copies_ = s.infrastructure_->lost_disks_ + 1;
+    return made;
+}
+
+} // namespace jackdawhall::daemon
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -19,6 +19,7 @@
 {
     jd::daemon::set_up_log(settings);
     jd::daemon::daemon daemon(settings);
+    daemon.remember_settings_file(FLAGS_settings);
     return jd::leaf::try_handle_all(
         [&]() -> jd::leaf::result<int>
         {
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -1,28 +1,25 @@
-// Sends runs to backend servers over HTTP, by libsoup, and says what became of
-// each: answered whole, not connected (no byte was sent), or broken.
+// Sends runs to backend servers over HTTP/1.1 and says what became of each:
+// answered whole, not connected (no byte was sent), or broken.
 //
-// Each server has a set of kept connections. When a run got no answer for a
-// while although a later one did, or got none at all in its time, the kept
-// connections may have gone silent: new runs then get a new set, and the old
-// one ends with the runs on it.
+// Connections are kept and used again one run at a time, for as long as the
+// server allows. An answer whose length does not fit, that a reset cut short,
+// or that belongs to another request is never passed on.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
-#include <libsoup/soup.h>
-
-#include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/loop/later.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
 {
 
-inline constexpr std::size_t max_answer_bytes = 8 << 20;
-
 struct backend_answered
 {
     answer answer_;
@@ -44,6 +41,20 @@
     std::function<void(std::string const& server_id, bool alive)> probed_;
 };
 
+inline constexpr std::size_t max_answer_bytes = 8 << 20;
+
+// How the answers of a server are told apart and known to be whole.
+struct answer_rules
+{
+    // Header field that a server repeats in its answer, so that a late answer
+    // to an earlier request is recognised; in lower case, empty: none.
+    std::string echoed_name_;
+    std::string echoed_value_;
+    // An answer without a length is whole when its connection ends in order.
+    bool may_lack_length_ = false;
+    auto operator<=>(answer_rules const&) const = default;
+};
+
 class backend_client
 {
 public:
@@ -55,7 +66,7 @@
     // Sends `r`; done_ follows once, within `timeout`.
     void
     run(std::uint64_t run, endpoint const& to, request const& r,
-        duration timeout);
+        duration timeout, answer_rules const& rules = {});
 
     // Closes the run's connection; done_ still follows.
     void cancel(std::uint64_t run);
@@ -63,31 +74,36 @@
     // Connects to a server and closes again; probed_ follows.
     void probe(std::string const& server_id, endpoint const& to);
 
+    // Closes the kept connections to an address.
+    void forget(endpoint const& to);
+
 private:
-    struct exchange;
-    // Kept connections to one server.
-    struct connections
-    {
-        object_ptr<SoupSession> session_;
-        instant made_;
-        instant last_answer_; // of a run on them
-    };
-
-    SoupSession* session_for(endpoint const& to);
-    void note_connection(exchange& e);
-    bool is_still_open(exchange const& e) const;
-    void suspect_silence(exchange& e, bool ended);
-    void take_head(exchange& e, GInputStream* body, error_ptr const& error);
-    void read_more(exchange& e);
-    void take_body(exchange& e, bytes_ptr bytes, error_ptr const& error);
-    void finish(exchange& e, backend_result result);
-    void fail(exchange& e, error_ptr const& error);
+    struct connection;
+    struct probe_in_progress;
+
+    connection* take_kept(endpoint const& to);
+    connection& connect_to(endpoint const& to);
+    void send(connection& c);
+    void begin_answer(connection& c);
+    void take_bytes(connection& c);
+    void take_answer(connection& c);
+    void take_end(connection& c, bool clean);
+    void keep(connection& c, duration longest);
+    void time_out(connection& c);
+    void finish(connection& c, backend_result result);
+    void drop(connection& c);
+    void end_probe(probe_in_progress& p, bool alive);
+    void collect();
 
     backend_handlers handlers_;
-    std::map<endpoint, connections> connections_;
-    std::map<guint64, object_ptr<GSocket>> sockets_; // by connection id
-    object_ptr<GSocketClient> prober_;
-    std::map<std::uint64_t, std::unique_ptr<exchange>> open_;
+    std::map<connection*, std::unique_ptr<connection>> connections_;
+    std::map<std::uint64_t, connection*> runs_;
+    // Idle connections; the one used last is at the end.
+    std::map<endpoint, std::vector<connection*>> kept_;
+    std::map<probe_in_progress*, std::unique_ptr<probe_in_progress>> probes_;
+    std::vector<std::unique_ptr<connection>> closed_;
+    std::vector<std::unique_ptr<probe_in_progress>> ended_;
+    later collect_{[this] { collect(); }};
 };
 
 } // namespace jackdawhall::loop
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -0,0 +1,222 @@
+#include <jackdawhall/loop/byte_stream.hpp>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <jackdawhall/loop/socket_options.hpp>
+
+namespace jackdawhall::loop
+{
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 32 << 10;
+// Reads for one event, so that one peer does not hold the others up.
+constexpr int reads_at_once = 8;
+constexpr int listen_backlog = 1024;
+
+sockaddr_in to_socket_address(endpoint const& e)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(e.port_);
+    inet_pton(AF_INET, e.address_.c_str(), &address.sin_addr);
+    return address;
+}
+
+} // namespace
+
+int begin_connect(endpoint const& to)
+{
+    int const fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return -1;
+    set_socket_options(fd);
+    sockaddr_in const address = to_socket_address(to);
+    int const done = connect(
+        fd, reinterpret_cast<sockaddr const*>(&address), sizeof address);
+    if (done == 0 || errno == EINPROGRESS)
+        return fd;
+    close(fd);
+    return -1;
+}
+
+bool is_connected(int fd)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+           error == 0;
+}
+
+void close_fd(int fd)
+{
+    if (fd >= 0)
+        close(fd);
+}
+
+leaf::result<int> open_listener(endpoint const& on, std::string const& setting)
+{
+    int const fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int const yes = 1;
+    if (fd >= 0)
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    sockaddr_in const address = to_socket_address(on);
+    bool const listens =
+        fd >= 0 &&
+        bind(
+            fd, reinterpret_cast<sockaddr const*>(&address), sizeof address) ==
+            0 &&
+        listen(fd, listen_backlog) == 0;
+    if (listens)
+        return fd;
+    std::string const why = std::strerror(errno);
+    if (fd >= 0)
+        close(fd);
+    return leaf::new_error(user_error{
+        "cannot listen on " + on.address_ + ":" + std::to_string(on.port_) +
+            ": " + why,
+        "free the port, or change " + setting});
+}
+
+source_ptr
+watch_fd(int fd, GIOCondition condition, GUnixFDSourceFunc f, gpointer data)
+{
+    source_ptr source(g_unix_fd_source_new(fd, condition));
+    g_source_set_callback(source.get(), G_SOURCE_FUNC(f), data, nullptr);
+    g_source_attach(source.get(), nullptr);
+    return source;
+}
+
+byte_stream::byte_stream(int fd, stream_handlers handlers)
+    : fd_(fd), handlers_(std::move(handlers))
+{
+    set_socket_options(fd_);
+    read_more(true);
+}
+
+byte_stream::~byte_stream()
+{
+    close();
+}
+
+void byte_stream::close()
+{
+    readable_.reset();
+    writable_.reset();
+    if (fd_ >= 0)
+        ::close(fd_);
+    fd_ = -1;
+}
+
+void byte_stream::read_more(bool wanted)
+{
+    if (!wanted)
+        return readable_.reset();
+    if (!readable_ && fd_ >= 0)
+        readable_ = watch_fd(fd_, G_IO_IN, readable, this);
+}
+
+bool byte_stream::has_unread() const
+{
+    pollfd probe{fd_, POLLIN, 0};
+    return !in_.empty() || poll(&probe, 1, 0) != 0;
+}
+
+void byte_stream::end(stream_end how)
+{
+    readable_.reset();
+    writable_.reset();
+    handlers_.ended_(how);
+}
+
+gboolean byte_stream::readable(gint, GIOCondition, gpointer self)
+{
+    static_cast<byte_stream*>(self)->receive();
+    return G_SOURCE_CONTINUE;
+}
+
+void byte_stream::receive()
+{
+    static std::array<char, read_bytes> chunk;
+    bool grown = false;
+    for (int i = 0; i < reads_at_once; ++i)
+    {
+        ssize_t const n = recv(fd_, chunk.data(), chunk.size(), 0);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            break;
+        if (n <= 0)
+        {
+            // What came before the end is handed on first.
+            if (grown)
+                handlers_.received_();
+            if (fd_ >= 0)
+                end(n == 0 ? stream_end::finished : stream_end::broken);
+            return;
+        }
+        in_.append(chunk.data(), static_cast<std::size_t>(n));
+        grown = true;
+        if (static_cast<std::size_t>(n) < chunk.size())
+            break;
+    }
+    if (grown)
+        handlers_.received_();
+}
+
+void byte_stream::write(std::string const& bytes)
+{
+    bool const idle = out_.empty();
+    out_ += bytes;
+    if (idle)
+        flush();
+}
+
+gboolean byte_stream::writable(gint, GIOCondition, gpointer self)
+{
+    static_cast<byte_stream*>(self)->flush();
+    return G_SOURCE_CONTINUE;
+}
+
+void byte_stream::flush()
+{
+    std::size_t done = 0;
+    while (done < out_.size())
+    {
+        ssize_t const n =
+            ::send(fd_, out_.data() + done, out_.size() - done, MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOTCONN))
+            break;
+        if (n < 0)
+            return end(stream_end::broken);
+        done += static_cast<std::size_t>(n);
+    }
+    out_.erase(0, done);
+    if (out_.empty())
+    {
+        writable_.reset();
+        if (handlers_.written_)
+            handlers_.written_();
+    }
+    else if (!writable_)
+        writable_ = watch_fd(
+            fd_, static_cast<GIOCondition>(G_IO_OUT | G_IO_ERR | G_IO_HUP),
+            writable, this);
+}
+
+void byte_stream::finish_writing()
+{
+    if (fd_ >= 0)
+        shutdown(fd_, SHUT_WR);
+}
+
+} // namespace jackdawhall::loop
--- /dev/null
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -0,0 +1,89 @@
+// A connected TCP socket on the main loop: bytes in and out without blocking.
+// Whoever owns a stream keeps it until the loop's next round after it ended,
+// since a stream may be in use by the handler that ends it.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <glib-unix.h>
+#include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::loop
+{
+
+enum class stream_end
+{
+    finished, // the peer sent its last byte
+    broken    // the connection was reset or timed out
+};
+
+struct stream_handlers
+{
+    std::function<void()> received_; // input() has grown
+    std::function<void(stream_end)> ended_;
+    std::function<void()> written_; // everything written so far has been sent
+};
+
+// Opens a non-blocking socket and begins to connect it. Returns the
+// descriptor, or -1.
+int begin_connect(endpoint const& to);
+
+// Says whether a connect that began has succeeded.
+bool is_connected(int fd);
+
+// Closes a descriptor; -1 is none.
+void close_fd(int fd);
+
+// Opens a listening socket. Fails with user_error that names `setting`.
+leaf::result<int> open_listener(endpoint const& on, std::string const& setting);
+
+// Calls `f` when `fd` has one of the conditions.
+source_ptr
+watch_fd(int fd, GIOCondition condition, GUnixFDSourceFunc f, gpointer data);
+
+class byte_stream
+{
+public:
+    // Takes the descriptor of a connected socket over.
+    byte_stream(int fd, stream_handlers handlers);
+    ~byte_stream();
+    byte_stream(byte_stream const&) = delete;
+    byte_stream& operator=(byte_stream const&) = delete;
+
+    // Bytes received and not yet taken.
+    std::string& input() { return in_; }
+
+    void write(std::string const& bytes);
+    bool all_written() const { return out_.empty(); }
+
+    // Stops and starts taking bytes in, so that a peer cannot fill memory.
+    void read_more(bool wanted);
+
+    // Ends the writing side; the peer may still send.
+    void finish_writing();
+
+    // Closes at once; no handler is called any more.
+    void close();
+    bool is_open() const { return fd_ >= 0; }
+
+    // Says whether the peer sent or ended something that was not read yet.
+    bool has_unread() const;
+
+private:
+    static gboolean readable(gint fd, GIOCondition condition, gpointer self);
+    static gboolean writable(gint fd, GIOCondition condition, gpointer self);
+    void receive();
+    void flush();
+    void end(stream_end how);
+
+    int fd_ = -1;
+    stream_handlers handlers_;
+    std::string in_;
+    std::string out_;
+    source_ptr readable_;
+    source_ptr writable_;
+};
+
+} // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/event_loop.cpp
+++ b/packages/loop/jackdawhall/loop/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <jackdawhall/loop/timer_source.hpp>
 
 #include <csignal>
+#include <ctime>
 #include <glib-unix.h>
 
 namespace jackdawhall::loop
@@ -10,8 +11,14 @@
 
 present read_clocks()
 {
+    // Unlike CLOCK_MONOTONIC it counts the time for which a host is suspended,
+    // so that no lease outlives a suspension.
+    timespec booted{};
+    clock_gettime(CLOCK_BOOTTIME, &booted);
     return {
-        instant{duration{g_get_monotonic_time()}},
+        instant{
+            std::chrono::seconds{booted.tv_sec} +
+            duration{booted.tv_nsec / 1000}},
         wall_time{std::chrono::milliseconds{g_get_real_time() / 1000}}};
 }
 
@@ -67,4 +74,17 @@
     }
 }
 
+void event_loop::on_reload_signal(std::function<void()> f)
+{
+    on_reload_ = std::move(f);
+    g_unix_signal_add(
+        SIGHUP,
+        [](gpointer self) -> gboolean
+        {
+            static_cast<event_loop*>(self)->on_reload_();
+            return G_SOURCE_CONTINUE;
+        },
+        this);
+}
+
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/event_loop.hpp
+++ b/packages/loop/jackdawhall/loop/event_loop.hpp
@@ -9,7 +9,7 @@
 namespace jackdawhall::loop
 {
 
-// Both clocks now: CLOCK_MONOTONIC, and the system's wall clock.
+// Both clocks now: CLOCK_BOOTTIME, and the system's wall clock.
 present read_clocks();
 
 class event_loop
@@ -27,6 +27,9 @@
     // Calls `f` for SIGTERM and SIGINT.
     void on_stop_signal(std::function<void()> f);
 
+    // Calls `f` for SIGHUP.
+    void on_reload_signal(std::function<void()> f);
+
 private:
     struct loop_deleter
     {
@@ -37,6 +40,7 @@
     std::optional<instant> timer_due_; // nothing: not set
     std::function<void()> on_timer_;
     std::function<void()> on_stop_;
+    std::function<void()> on_reload_;
 };
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -1,8 +1,17 @@
 #include <jackdawhall/loop/http_server.hpp>
 
+#include <array>
+#include <optional>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#include <jackdawhall/loop/socket_options.hpp>
+#include <jackdawhall/loop/byte_stream.hpp>
+#include <jackdawhall/loop/event_loop.hpp>
+#include <jackdawhall/loop/http_message.hpp>
+#include <jackdawhall/loop/timer_source.hpp>
 
 namespace jackdawhall::loop
 {
@@ -10,307 +19,279 @@
 namespace
 {
 
-// A connection without any byte for this long is closed.
-constexpr guint idle_timeout_s = 60;
-// Marks sockets whose options are set.
-constexpr char known_mark[] = "jackdawhall-known";
-// Bytes of a request's body read so far.
-constexpr char seen_bytes_mark[] = "jackdawhall-bytes";
-constexpr goffset max_request_bytes = (1 << 20) + 1;
+// A connection that is closed with unread bytes is reset, and its caller may
+// lose the answer: so what still comes is read and dropped for this long.
+constexpr duration linger_time = std::chrono::seconds(1);
+// Bytes of the next request that are taken in while one is in progress.
+constexpr std::size_t max_early_bytes = 64 << 10;
+constexpr int accepts_at_once = 32;
 
-headers headers_of(SoupMessageHeaders* from)
+enum class phase
 {
-    headers fields;
-    SoupMessageHeadersIter iter;
-    char const* name = nullptr;
-    char const* value = nullptr;
-    soup_message_headers_iter_init(&iter, from);
-    while (soup_message_headers_iter_next(&iter, &name, &value))
-    {
-        char* lower = g_ascii_strdown(name, -1);
-        fields.push_back({lower, value});
-        g_free(lower);
-    }
-    return fields;
-}
+    reading,   // a request, or waiting for one
+    answering, // a request is in progress
+    lingering  // the last answer was written
+};
 
-request request_of(SoupServerMessage* message)
+std::uint16_t status_of(boost::beast::error_code const& error)
 {
-    request r;
-    r.method_ = soup_server_message_get_method(message);
-    GUri* uri = soup_server_message_get_uri(message);
-    r.path_ = g_uri_get_path(uri);
-    if (char const* query = g_uri_get_query(uri))
-        r.path_ += std::string("?") + query;
-    r.headers_ = headers_of(soup_server_message_get_request_headers(message));
-    SoupMessageBody* body = soup_server_message_get_request_body(message);
-    bytes_ptr const bytes(soup_message_body_flatten(body));
-    gsize size = 0;
-    void const* data = g_bytes_get_data(bytes.get(), &size);
-    if (size > 0)
-        r.body_.assign(static_cast<char const*>(data), size);
-    return r;
+    if (error == http::error::header_limit ||
+        error == http::error::buffer_overflow)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    return 400;
 }
 
-void refuse_large(SoupServerMessage* message)
+} // namespace
+
+struct http_server::connection
 {
-    soup_server_message_set_status(
-        message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
-    SoupMessageHeaders* fields =
-        soup_server_message_get_response_headers(message);
-    soup_message_headers_replace(fields, "Connection", "close");
-    soup_message_headers_replace(fields, verdict_header, "not-run");
-    soup_message_headers_replace(fields, reason_header, "too_large");
-}
+    http_server* owner_ = nullptr;
+    std::uint64_t id_ = 0;
+    std::string remote_;
+    phase phase_ = phase::reading;
+    std::optional<request_parser> parser_;
+    bool began_ = false;     // the first byte of a request is there
+    bool continued_ = false; // 100 Continue was sent
+    std::uint64_t number_ = 0;
+    std::string method_;
+    bool keep_alive_ = true;
+    source_ptr timer_;
+    std::unique_ptr<byte_stream> stream_;
+};
 
-// Closes the connection of a request whose body grows beyond the bound.
-void bound_chunk(SoupServerMessage* message, GBytes* chunk, gpointer)
+http_server::http_server(
+    endpoint listen, std::uint32_t max_connections, http_handlers handlers)
+    : listen_(std::move(listen)), max_connections_(max_connections),
+      handlers_(std::move(handlers))
 {
-    auto* seen = static_cast<gsize*>(
-        g_object_get_data(G_OBJECT(message), seen_bytes_mark));
-    if (!seen)
-    {
-        seen = g_new0(gsize, 1);
-        g_object_set_data_full(
-            G_OBJECT(message), seen_bytes_mark, seen, g_free);
-    }
-    *seen += g_bytes_get_size(chunk);
-    if (*seen <= static_cast<gsize>(max_request_bytes))
-        return;
-    GSocket* socket = soup_server_message_get_socket(message);
-    if (socket)
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
-void bound_early(
-    SoupServer*, SoupServerMessage* message, char const*, GHashTable*, gpointer)
+http_server::~http_server()
 {
-    SoupMessageHeaders* fields =
-        soup_server_message_get_request_headers(message);
-    if (soup_message_headers_get_encoding(fields) ==
-            SOUP_ENCODING_CONTENT_LENGTH &&
-        soup_message_headers_get_content_length(fields) > max_request_bytes)
-        return refuse_large(message);
-    g_signal_connect(message, "got-chunk", G_CALLBACK(bound_chunk), nullptr);
+    acceptable_.reset();
+    if (listener_ >= 0)
+        ::close(listener_);
 }
 
-// Whether the peer has closed its side and nothing is left to read. Never
-// waits: a GSocket in its blocking mode would, when libsoup has read the bytes
-// that woke this up.
-bool has_ended(GSocket* socket)
+leaf::result<void> http_server::listen(std::string const& key)
 {
-    char byte = 0;
-    return ::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
-           0;
+    BOOST_LEAF_ASSIGN(listener_, open_listener(listen_, key));
+    acceptable_ = watch_fd(
+        listener_, G_IO_IN,
+        [](gint, GIOCondition, gpointer self) -> gboolean
+        {
+            static_cast<http_server*>(self)->accept();
+            return G_SOURCE_CONTINUE;
+        },
+        this);
+    return {};
 }
 
-gboolean
-idle_connection_readable(GSocket* socket, GIOCondition, gpointer message)
+void http_server::accept()
 {
-    if (!has_ended(socket))
-        return G_SOURCE_REMOVE; // the next request
-    object_ptr<GIOStream> const connection(
-        soup_server_message_steal_connection(SOUP_SERVER_MESSAGE(message)));
-    if (connection)
-        g_io_stream_close(connection.get(), nullptr, nullptr);
-    return G_SOURCE_REMOVE;
+    for (int i = 0; i < accepts_at_once; ++i)
+    {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        int const fd = accept4(
+            listener_, reinterpret_cast<sockaddr*>(&from), &size,
+            SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        if (connections_.size() >= max_connections_)
+        {
+            ::close(fd);
+            continue;
+        }
+        auto made = std::make_unique<connection>();
+        connection& c = *made;
+        c.owner_ = this;
+        c.id_ = ++last_number_;
+        std::array<char, INET_ADDRSTRLEN> text{};
+        inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
+        c.remote_ = text.data();
+        connections_.emplace(c.id_, std::move(made));
+        c.stream_ = std::make_unique<byte_stream>(
+            fd, stream_handlers{
+                    [&c] { c.owner_->take_bytes(c); },
+                    [&c](stream_end) { c.owner_->take_end(c); },
+                    {}});
+        c.timer_ = make_timer(
+            [](gpointer data) -> gboolean
+            {
+                connection& late = *static_cast<connection*>(data);
+                late.owner_->time_out(late);
+                return G_SOURCE_CONTINUE;
+            },
+            &c);
+        begin_request(c);
+    }
 }
 
-// libsoup 3.2.3 does not notice that its peer closed a kept connection between
-// two requests. `message` is the next one, still blank.
-void close_when_idle_peer_leaves(SoupServerMessage* message, GSocket* socket)
+void http_server::arm(connection& c, duration after)
 {
-    GSource* readable = g_socket_create_source(socket, G_IO_IN, nullptr);
-    g_source_set_callback(
-        readable, G_SOURCE_FUNC(idle_connection_readable),
-        g_object_ref(message), g_object_unref);
-    g_source_attach(readable, nullptr);
-    g_source_unref(readable);
+    set_timer_due(c.timer_, read_clocks().now_ + after);
 }
 
-} // namespace
-
-struct http_server::exchange
+void http_server::begin_request(connection& c)
 {
-    http_server* owner_ = nullptr;
-    std::uint64_t number_ = 0;
-    object_ptr<SoupServerMessage> message_;
-    gulong finished_ = 0; // signal handler
-    source_ptr leaving_;
-    bool paused_ = false;
-};
+    c.phase_ = phase::reading;
+    c.number_ = 0;
+    c.began_ = c.continued_ = false;
+    c.parser_.emplace();
+    c.parser_->eager(true);
+    c.parser_->header_limit(limits_.header_bytes_);
+    c.parser_->body_limit(limits_.body_bytes_);
+    arm(c, limits_.idle_time_);
+    c.stream_->read_more(true);
+    if (!c.stream_->input().empty())
+        take_bytes(c);
+}
 
-http_server::http_server(
-    endpoint listen, std::uint32_t max_connections, http_handlers handlers)
-    : listen_(std::move(listen)), max_connections_(max_connections),
-      handlers_(std::move(handlers)),
-      server_(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr)))
+void http_server::take_bytes(connection& c)
 {
-    soup_server_add_early_handler(
-        server_.get(), nullptr, bound_early, nullptr, nullptr);
-    soup_server_add_handler(
-        server_.get(), nullptr,
-        [](SoupServer*, SoupServerMessage* message, char const*, GHashTable*,
-           gpointer self) { static_cast<http_server*>(self)->take(message); },
-        this, nullptr);
+    std::string& in = c.stream_->input();
+    if (c.phase_ == phase::lingering)
+        return in.clear();
+    if (c.phase_ == phase::answering)
+    {
+        if (in.size() > max_early_bytes)
+            c.stream_->read_more(false);
+        return;
+    }
+    if (!c.began_)
+    {
+        c.began_ = true;
+        arm(c, limits_.header_time_);
+    }
+    boost::beast::error_code const error = feed(*c.parser_, in);
+    if (error)
+        return refuse(c, status_of(error));
+    if (in.size() > limits_.header_bytes_ && !c.parser_->is_header_done())
+        return refuse(c, 431);
+    if (c.parser_->is_done())
+        return take_request(c);
+    if (!c.parser_->is_header_done())
+        return;
+    // Each part of a body gives it the same time again.
+    arm(c, limits_.header_time_);
+    if (!c.continued_ &&
+        boost::beast::iequals(
+            c.parser_->get()[http::field::expect], "100-continue"))
+    {
+        c.continued_ = true;
+        c.stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
 }
 
-http_server::~http_server()
+void http_server::take_request(connection& c)
 {
-    for (auto& open : open_)
-        g_signal_handler_disconnect(
-            open.second.message_.get(), open.second.finished_);
-    open_.clear();
-    stop_accepting();
+    c.phase_ = phase::answering;
+    set_timer_due(c.timer_, instant::max());
+    c.keep_alive_ = c.parser_->keep_alive();
+    request_parser::value_type message = c.parser_->release();
+    request r;
+    r.method_ = std::string(message.method_string());
+    r.path_ = std::string(message.target());
+    r.headers_ = headers_of(message.base());
+    r.body_ = std::move(message.body());
+    c.method_ = r.method_;
+    c.number_ = ++last_number_;
+    open_.emplace(c.number_, &c);
+    handlers_.requested_(c.number_, std::move(r), c.remote_);
 }
 
-leaf::result<void> http_server::listen(std::string const& key)
+void http_server::take_end(connection& c)
 {
-    object_ptr<GInetAddress> const ip(
-        g_inet_address_new_from_string(listen_.address_.c_str()));
-    object_ptr<GSocketAddress> const address(
-        g_inet_socket_address_new(ip.get(), listen_.port_));
-    g_signal_connect(
-        server_.get(), "request-started",
-        G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer self)
-                   { static_cast<http_server*>(self)->begin(message); }),
-        this);
-    GError* raw = nullptr;
-    gboolean const bound = soup_server_listen(
-        server_.get(), address.get(), SoupServerListenOptions{}, &raw);
-    error_ptr const error(raw);
-    if (!bound)
-        return leaf::new_error(user_error{
-            "cannot listen on " + listen_.address_ + ":" +
-                std::to_string(listen_.port_) + ": " + message_of(error),
-            "free the port, or change " + key});
-    return {};
+    std::uint64_t const number = c.number_;
+    bool const left = open_.erase(number) != 0;
+    close(c);
+    if (left)
+        handlers_.left_(number);
 }
 
-// Called before a request is read. The first one of a connection bounds it.
-void http_server::begin(SoupServerMessage* message)
+void http_server::refuse(connection& c, std::uint16_t status)
 {
-    GSocket* socket = soup_server_message_get_socket(message);
-    if (!socket)
-        return;
-    close_when_idle_peer_leaves(message, socket);
-    if (g_object_get_data(G_OBJECT(socket), known_mark))
-        return;
-    g_object_set_data(G_OBJECT(socket), known_mark, socket);
-    g_socket_set_timeout(socket, idle_timeout_s);
-    set_socket_options(socket);
-    ++*connections_;
-    g_object_weak_ref(
-        G_OBJECT(socket),
-        [](gpointer count, GObject*)
-        {
-            std::unique_ptr<std::shared_ptr<std::uint32_t>> const held(
-                static_cast<std::shared_ptr<std::uint32_t>*>(count));
-            --**held;
-        },
-        new std::shared_ptr<std::uint32_t>(connections_));
-    if (*connections_ > max_connections_)
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    respond(c, jackdawhall::answer{status, {}, {}}, true);
 }
 
-void http_server::take(SoupServerMessage* message)
+void http_server::respond(
+    connection& c, jackdawhall::answer const& a, bool last)
 {
-    if (soup_server_message_get_status(message) != 0)
-        return; // refused early
-    std::uint64_t const number = ++last_number_;
-    exchange& e = open_[number];
-    e.owner_ = this;
-    e.number_ = number;
-    e.message_ = share(message);
-    e.finished_ = g_signal_connect(
-        message, "finished",
-        G_CALLBACK(+[](SoupServerMessage*, gpointer data)
-                   {
-                       exchange& ended = *static_cast<exchange*>(data);
-                       ended.owner_->forget(ended.number_);
-                   }),
-        &e);
-    char const* host = soup_server_message_get_remote_host(message);
-    handlers_.requested_(number, request_of(message), host ? host : "");
-    // A message that is answered by now must not be paused: libsoup would not
-    // read the next request of its connection.
-    auto const open = open_.find(number);
-    if (open == open_.end())
+    c.stream_->write(to_text(a, c.method_, last));
+    if (!c.stream_->is_open())
         return;
-    open->second.paused_ = true;
-    soup_server_message_pause(message);
-    watch_for_leaving(open->second);
+    if (last)
+        linger(c);
+    else
+        begin_request(c);
 }
 
-gboolean
-http_server::caller_readable(GSocket* socket, GIOCondition, gpointer data)
+void http_server::linger(connection& c)
 {
-    exchange& waiting = *static_cast<exchange*>(data);
-    bool const left = has_ended(socket);
-    http_server& server = *waiting.owner_;
-    std::uint64_t const number = waiting.number_;
-    waiting.leaving_.reset();
-    if (left)
-    {
-        object_ptr<SoupServerMessage> const message =
-            share(waiting.message_.get());
-        server.handlers_.left_(number);
-        // Nobody reads an answer; libsoup needs one to end the connection.
-        soup_server_message_set_status(
-            message.get(), SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-        server.forget(number);
-    }
-    return G_SOURCE_REMOVE;
+    c.phase_ = phase::lingering;
+    c.stream_->input().clear();
+    c.stream_->read_more(true);
+    if (c.stream_->all_written())
+        c.stream_->finish_writing();
+    arm(c, linger_time);
 }
 
-// While a request waits for its answer, its caller has nothing to send; a
-// readable connection without bytes means that the caller closed it.
-void http_server::watch_for_leaving(exchange& e)
+void http_server::answer(std::uint64_t number, jackdawhall::answer const& a)
 {
-    GSocket* socket = soup_server_message_get_socket(e.message_.get());
-    if (!socket)
+    auto const known = open_.find(number);
+    if (known == open_.end())
         return;
-    e.leaving_.reset(g_socket_create_source(socket, G_IO_IN, nullptr));
-    g_source_set_callback(
-        e.leaving_.get(), G_SOURCE_FUNC(caller_readable), &e, nullptr);
-    g_source_attach(e.leaving_.get(), nullptr);
+    connection& c = *known->second;
+    open_.erase(known);
+    respond(c, a, closing_ || !c.keep_alive_);
 }
 
-void http_server::forget(std::uint64_t number)
+void http_server::time_out(connection& c)
 {
-    auto const open = open_.find(number);
-    if (open == open_.end())
-        return;
-    g_signal_handler_disconnect(
-        open->second.message_.get(), open->second.finished_);
-    if (open->second.paused_)
-        soup_server_message_unpause(open->second.message_.get());
-    open_.erase(open);
+    bool const slow = c.phase_ == phase::reading && c.began_;
+    if (slow)
+        return refuse(c, 408);
+    if (c.phase_ == phase::lingering && !c.stream_->all_written())
+        return arm(c, linger_time);
+    close(c);
 }
 
-void http_server::answer(std::uint64_t number, jackdawhall::answer const& a)
+void http_server::close(connection& c)
 {
-    auto const open = open_.find(number);
-    if (open == open_.end())
+    auto const known = connections_.find(c.id_);
+    if (known == connections_.end())
         return;
-    SoupServerMessage* message = open->second.message_.get();
-    SoupMessageHeaders* fields =
-        soup_server_message_get_response_headers(message);
-    for (header const& field : a.headers_)
-        soup_message_headers_append(
-            fields, field.name_.c_str(), field.value_.c_str());
-    soup_server_message_set_status(message, a.status_, nullptr);
-    SoupMessageBody* body = soup_server_message_get_response_body(message);
-    soup_message_body_append(
-        body, SOUP_MEMORY_COPY, a.body_.data(), a.body_.size());
-    soup_message_body_complete(body);
-    forget(number);
+    c.stream_->close();
+    c.timer_.reset();
+    closed_.push_back(std::move(known->second));
+    connections_.erase(known);
+    collect_.ask();
+}
+
+void http_server::collect()
+{
+    closed_.clear();
 }
 
 void http_server::stop_accepting()
 {
-    soup_server_disconnect(server_.get());
+    closing_ = true;
+    acceptable_.reset();
+    if (listener_ >= 0)
+        ::close(listener_);
+    listener_ = -1;
+    std::vector<connection*> idle;
+    for (auto const& held : connections_)
+    {
+        connection& c = *held.second;
+        if (c.phase_ == phase::reading && !c.began_)
+            idle.push_back(&c);
+    }
+    for (connection* c : idle)
+        close(*c);
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -1,21 +1,31 @@
-// An HTTP server on one address, by libsoup. Each request gets a number and is
-// answered later under it. Requests are bounded in size, connections in number
-// and in how long they may be idle.
+// An HTTP/1.1 server on one address. Each request gets a number and is
+// answered later under it; its body is held until it is whole. Requests are
+// bounded in size and in the time they may take to come in, connections in
+// number and in how long they may be idle.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
-#include <libsoup/soup.h>
-
-#include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/loop/later.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
 {
 
+struct http_limits
+{
+    std::uint32_t header_bytes_ = 16 << 10;
+    std::uint64_t body_bytes_ = 1 << 20;
+    duration header_time_ = std::chrono::seconds(10); // first to last byte
+    duration idle_time_ = std::chrono::seconds(60);   // between two requests
+    auto operator<=>(http_limits const&) const = default;
+};
+
 struct http_handlers
 {
     std::function<void(
@@ -38,33 +48,48 @@
     // setting to change.
     leaf::result<void> listen(std::string const& key);
 
+    // Holds for requests that begin from now on.
+    void set_limits(http_limits const& limits) { limits_ = limits; }
+
     // Answers a request, unless its caller has left.
     void answer(std::uint64_t number, jackdawhall::answer const& a);
 
-    // Accepts no more connections.
+    // From now on each answer is the last of its connection.
+    void announce_closing() { closing_ = true; }
+
+    // Accepts no more connections, and closes those without a request.
     void stop_accepting();
 
     std::size_t open_requests() const { return open_.size(); }
 
 private:
-    struct exchange;
+    struct connection;
 
-    void begin(SoupServerMessage* message);
-    void take(SoupServerMessage* message);
-    void watch_for_leaving(exchange& e);
-    static gboolean
-    caller_readable(GSocket* socket, GIOCondition, gpointer data);
-    void forget(std::uint64_t number);
+    void accept();
+    void take_bytes(connection& c);
+    void take_request(connection& c);
+    void take_end(connection& c);
+    void refuse(connection& c, std::uint16_t status);
+    void respond(connection& c, jackdawhall::answer const& a, bool last);
+    void begin_request(connection& c);
+    void linger(connection& c);
+    void close(connection& c);
+    void time_out(connection& c);
+    void arm(connection& c, duration after);
+    void collect();
 
     endpoint listen_;
     std::uint32_t max_connections_;
     http_handlers handlers_;
-    object_ptr<SoupServer> server_;
-    // Shared with sockets that outlive this.
-    std::shared_ptr<std::uint32_t> connections_ =
-        std::make_shared<std::uint32_t>(0);
+    http_limits limits_;
+    int listener_ = -1;
+    source_ptr acceptable_;
+    bool closing_ = false;
     std::uint64_t last_number_ = 0;
-    std::map<std::uint64_t, exchange> open_;
+    std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
+    std::map<std::uint64_t, connection*> open_; // by number of the request
+    std::vector<std::unique_ptr<connection>> closed_;
+    later collect_{[this] { collect(); }};
 };
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/socket_options.cpp
+++ b/packages/loop/jackdawhall/loop/socket_options.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace jackdawhall::loop
 {
@@ -9,30 +10,31 @@
 namespace
 {
 
-constexpr gint unacknowledged_ms = 3000;
-constexpr gint idle_s = 5;
-constexpr gint probe_interval_s = 1;
-constexpr gint probes = 3;
+constexpr int unacknowledged_ms = 3000;
+constexpr int idle_s = 5;
+constexpr int probe_interval_s = 1;
+constexpr int probes = 3;
+
+void set(int fd, int level, int option, int value)
+{
+    setsockopt(fd, level, option, &value, sizeof value);
+}
 
 } // namespace
 
-void set_socket_options(GSocket* socket)
+void set_socket_options(int fd)
 {
-    g_socket_set_keepalive(socket, TRUE);
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-    g_socket_set_option(
-        socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms, nullptr);
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, idle_s, nullptr);
-    g_socket_set_option(
-        socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s, nullptr);
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probes, nullptr);
+    set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set(fd, IPPROTO_TCP, TCP_KEEPIDLE, idle_s);
+    set(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set(fd, IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
 
-void set_socket_options(GIOStream* stream)
+void set_socket_options(GSocket* socket)
 {
-    if (G_IS_SOCKET_CONNECTION(stream))
-        set_socket_options(
-            g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)));
+    set_socket_options(g_socket_get_fd(socket));
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/timer_source.cpp
+++ b/packages/loop/jackdawhall/loop/timer_source.cpp
@@ -1,5 +1,9 @@
 #include <jackdawhall/loop/timer_source.hpp>
 
+#include <algorithm>
+
+#include <jackdawhall/loop/event_loop.hpp>
+
 namespace jackdawhall::loop
 {
 
@@ -26,7 +30,13 @@
 
 void set_timer_due(source_ptr const& timer, instant due)
 {
-    g_source_set_ready_time(timer.get(), due.time_since_epoch().count());
+    if (due == instant::max())
+        return g_source_set_ready_time(timer.get(), -1);
+    // GLib's ready times are by a clock that stands still in a suspension.
+    duration const left = due - read_clocks().now_;
+    g_source_set_ready_time(
+        timer.get(), g_get_monotonic_time() + std::max<std::int64_t>(
+                                                  0, left.count()));
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/timer_source.hpp
+++ b/packages/loop/jackdawhall/loop/timer_source.hpp
@@ -12,6 +12,7 @@
 // Attached to the default context, and not set.
 source_ptr make_timer(GSourceFunc callback, gpointer data);
 
+// instant::max() unsets it.
 void set_timer_due(source_ptr const& timer, instant due);
 
 } // namespace jackdawhall::loop
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -76,9 +76,17 @@
     wall_time when_;            // first one: keys older than this are refused
     auto operator<=>(voters_command const&) const = default;
 };
+// Replaces the document if its base is the present one's version.
+struct document_command
+{
+    document document_;
+    wall_time when_;
+    auto operator<=>(document_command const&) const = default;
+};
 
 using command = std::variant<
-    no_op, change_command, claim_command, release_command, voters_command>;
+    no_op, change_command, claim_command, release_command, voters_command,
+    document_command>;
 
 struct log_entry
 {
@@ -119,6 +127,9 @@
     std::vector<past_change> history_;       // oldest first
     std::vector<claim> claims_;
     wall_time claims_horizon_; // keys older than this are refused
+    std::int64_t document_version_ = 0;
+    std::string document_text_;
+    std::vector<record_key> document_records_; // that came with it
     auto operator<=>(snapshot const&) const = default;
 };
 
@@ -182,6 +193,13 @@
     auto operator<=>(join_request const&) const = default;
 };
 
+// Answers a join_request: control hosts that the joining one may not know.
+struct control_hosts_known
+{
+    std::vector<host_name> hosts_;
+    auto operator<=>(control_hosts_known const&) const = default;
+};
+
 // --- Configuration and membership -----------------------------------------
 
 // Records changed after `from_`, up to `to_`.
@@ -195,6 +213,30 @@
     auto operator<=>(configuration_update const&) const = default;
 };
 
+// How many requests of an account a daemon had lately.
+struct account_demand
+{
+    account_name account_;
+    std::int64_t milli_rate_ = 0; // thousandths of a request per second
+    auto operator<=>(account_demand const&) const = default;
+};
+
+// The part of an account's rate and burst that a daemon may use.
+struct rate_share
+{
+    account_name account_;
+    std::int64_t parts_per_million_ = 0;
+    auto operator<=>(rate_share const&) const = default;
+};
+
+// A control host that was heard of lately.
+struct located_host
+{
+    host_name host_;
+    location location_;
+    auto operator<=>(located_host const&) const = default;
+};
+
 // A daemon renews its freshness lease and announces its backend servers.
 struct renewal
 {
@@ -207,6 +249,7 @@
     std::vector<backend_server> servers_;
     std::vector<service_name> wanted_; // services that it calls
     std::uint64_t membership_version_ = 0;
+    std::vector<account_demand> demand_;
     auto operator<=>(renewal const&) const = default;
 };
 
@@ -227,6 +270,9 @@
     host_name leader_; // empty: unknown
     std::uint64_t membership_version_ = 0;
     std::vector<service_servers> services_; // those that changed
+    std::vector<located_host> control_hosts_;
+    std::vector<rate_share> shares_; // of the accounts with a demand
+    std::int64_t daemons_ = 0;       // heard of lately, in all
     auto operator<=>(renewal_answer const&) const = default;
 };
 
@@ -239,6 +285,9 @@
     std::uint64_t to_version_ = 0;
     std::vector<backend_server> present_;
     std::vector<std::pair<host_name, std::string>> gone_; // host, server id
+    location location_;                  // of the control host
+    std::int64_t daemons_ = 0;           // attached to it
+    std::vector<account_demand> demand_; // of the daemons attached to it
     auto operator<=>(membership_report const&) const = default;
 };
 struct membership_wanted
@@ -365,6 +414,15 @@
     auto operator<=>(change_response const&) const = default;
 };
 
+// A document handed on to the leader; change_response answers it.
+struct document_request
+{
+    std::uint64_t number_ = 0;
+    host_name asker_;
+    document document_;
+    auto operator<=>(document_request const&) const = default;
+};
+
 // --- Calls
 // -----------------------------------------------------------------------
 
@@ -378,6 +436,8 @@
     std::uint32_t retries_ = 0; // that may be spent below
     std::uint32_t depth_ = 0;
     bool repeatable_ = false;
+    service_name caller_;   // beside which the call entered; empty: unknown
+    duration objective_{0}; // 0: none; answers after it are worth less
     auto operator<=>(call_context const&) const = default;
 };
 
@@ -422,7 +482,8 @@
     configuration_update, membership_report, membership_wanted, grant_request,
     grant_response, claim_request, claim_response, claim_release,
     claim_released, outcome_request, outcome_response, change_request,
-    change_response, forward, forward_answer, cancel_forward, crash_report>;
+    change_response, forward, forward_answer, cancel_forward, crash_report,
+    control_hosts_known, document_request>;
 
 // A message to send.
 struct outgoing
--- a/packages/model/jackdawhall/model/reason.cpp
+++ b/packages/model/jackdawhall/model/reason.cpp
@@ -20,7 +20,7 @@
 
 std::string_view to_text(refusal_reason reason)
 {
-    static constexpr std::array<std::string_view, 26> texts{
+    static constexpr std::array<std::string_view, 28> texts{
         "malformed",
         "too_large",
         "no_route",
@@ -47,6 +47,8 @@
         "stopping",
         "cancelled",
         "overloaded",
+        "refused_by_server",
+        "server_replaced",
     };
     return look_up(texts, reason);
 }
@@ -63,11 +65,12 @@
 
 std::string_view to_text(retry_reason reason)
 {
-    static constexpr std::array<std::string_view, 4> texts{
+    static constexpr std::array<std::string_view, 5> texts{
         "refused_by_gate",
         "connect_failed",
         "repeatable_lost",
         "repeatable_failed",
+        "refused_by_server",
     };
     return look_up(texts, reason);
 }
--- a/packages/model/jackdawhall/model/reason.hpp
+++ b/packages/model/jackdawhall/model/reason.hpp
@@ -37,7 +37,9 @@
     stopping,
     cancelled,
     overloaded,
-    last_ = overloaded
+    refused_by_server,
+    server_replaced,
+    last_ = server_replaced
 };
 
 // Reasons for which nobody can tell whether a request ran.
@@ -61,7 +63,8 @@
     connect_failed,
     repeatable_lost,
     repeatable_failed,
-    last_ = repeatable_failed
+    refused_by_server,
+    last_ = refused_by_server
 };
 
 std::string_view to_text(refusal_reason reason);
--- a/packages/model/jackdawhall/model/record.hpp
+++ b/packages/model/jackdawhall/model/record.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <variant>
 #include <vector>
@@ -41,6 +42,16 @@
     auto operator<=>(account_v2 const&) const = default;
 };
 
+// Schema 3 shares the rate out to the daemons by demand, and may rank all
+// requests of the account.
+struct account_v3
+{
+    std::int64_t milli_rate_ = 0; // 0: no limit
+    std::int64_t burst_ = 0;
+    std::optional<rank> rank_; // goes before the rank of a route
+    auto operator<=>(account_v3 const&) const = default;
+};
+
 // Hash of a key's secret. Its record is named "<account>/<key>".
 struct key_v1
 {
@@ -51,6 +62,14 @@
     auto operator<=>(key_v1 const&) const = default;
 };
 
+// Schema 2: a key that its operator chose. Its record is named by the hash of
+// the key's whole text.
+struct key_v2
+{
+    account_name account_;
+    auto operator<=>(key_v2 const&) const = default;
+};
+
 // Which service serves a path, and how.
 struct route_v1
 {
@@ -64,6 +83,40 @@
     auto operator<=>(route_v1 const&) const = default;
 };
 
+// How often a request may run.
+enum class repetition : std::uint8_t
+{
+    repeatable,
+    once_per_key,     // at most once for an idempotency key of its caller's
+    once_per_attempt, // at most once each time that its caller sends it
+    last_ = once_per_attempt
+};
+
+std::string_view to_text(repetition r);
+
+struct weighted_service
+{
+    service_name service_;
+    std::int64_t weight_ = 1; // its share, relative to the others' weights
+    auto operator<=>(weighted_service const&) const = default;
+};
+
+// Schema 2 adds virtual hosts, shares among services, and what a caller
+// expects.
+struct route_v2
+{
+    std::string virtual_host_; // in lower case; empty: every host
+    std::string path_prefix_;
+    std::vector<weighted_service> services_;
+    rank rank_ = lowest_rank;
+    bool open_ = false; // needs no key
+    repetition repetition_ = repetition::once_per_attempt;
+    std::int64_t timeout_ms_ = 1000;
+    std::int64_t objective_ms_ = 1000; // answers after this are worth less
+    std::int64_t attempts_ = 1;        // servers that one attempt may reach
+    auto operator<=>(route_v2 const&) const = default;
+};
+
 // Settings of a service that hold at each of its backend servers.
 struct service_v1
 {
@@ -71,6 +124,24 @@
     auto operator<=>(service_v1 const&) const = default;
 };
 
+// Schema 2 adds what the operator knows of its backend servers.
+struct service_v2
+{
+    bool draining_ = false;
+    std::int64_t connections_ = 0; // that one server accepts; 0: unknown
+    auto operator<=>(service_v2 const&) const = default;
+};
+
+// What callers may send, and how long they may take.
+struct limits_v1
+{
+    std::int64_t header_bytes_ = 16 << 10;
+    std::int64_t body_bytes_ = 1 << 20;
+    std::int64_t header_time_ms_ = 10000;
+    std::int64_t idle_time_ms_ = 60000;
+    auto operator<=>(limits_v1 const&) const = default;
+};
+
 // A request, by fingerprint, that was running when backend servers crashed.
 // Written by the leader of the control hosts.
 struct suspect_v1
@@ -92,12 +163,12 @@
 
 using record_body = std::variant<
     account_v1, account_v2, key_v1, route_v1, service_v1, suspect_v1,
-    unknown_record>;
+    unknown_record, account_v3, key_v2, route_v2, service_v2, limits_v1>;
 
 // What a record is about, and in which schema it is written.
 struct record_key
 {
-    std::string kind_; // "account", "key", "route", "service", "suspect"
+    std::string kind_; // "account", "key", "route", "service", ...
     std::string name_;
     std::uint32_t schema_ = 1;
     auto operator<=>(record_key const&) const = default;
@@ -136,6 +207,18 @@
     auto operator<=>(change const&) const = default;
 };
 
+// The whole configuration in one text, as an operator's tools keep it. It
+// replaces the document before it and all records that came with that one.
+struct document
+{
+    std::int64_t version_ = 0; // chosen by the operator; only ever grows
+    std::int64_t base_ = 0;    // version that it was made from; 0: none
+    std::string digest_;       // of the text: two documents may share a version
+    std::string text_;
+    std::vector<std::pair<record_key, record_body>> contents_;
+    auto operator<=>(document const&) const = default;
+};
+
 // Outcomes of a change.
 struct accepted
 {
--- a/packages/settings/jackdawhall/settings/daemon_settings.cpp
+++ b/packages/settings/jackdawhall/settings/daemon_settings.cpp
@@ -1,12 +1,11 @@
 #include <jackdawhall/settings/daemon_settings.hpp>
 
 #include <algorithm>
-#include <charconv>
+#include <cstring>
 #include <fstream>
-#include <set>
 #include <sstream>
 
-#include <yaml-cpp/yaml.h>
+#include <jackdawhall/settings/check.hpp>
 
 namespace jackdawhall::settings
 {
@@ -17,138 +16,6 @@
 constexpr std::size_t least_secret_characters = 16;
 constexpr std::size_t most_control_hosts = 7;
 
-// One check of a file in progress.
-struct check
-{
-    daemon_settings settings_;
-    std::vector<problem> problems_;
-    std::string folder_;
-};
-
-int line_of(YAML::Node const& node)
-{
-    return node.Mark().is_null() ? 0 : node.Mark().line + 1;
-}
-
-void complain(
-    check& c, YAML::Node const& at, std::string key, std::string what,
-    std::string mend)
-{
-    c.problems_.push_back(
-        {line_of(at), std::move(key), std::move(what), std::move(mend)});
-}
-
-std::optional<std::string>
-scalar(check& c, YAML::Node const& map, std::string const& key, bool required)
-{
-    YAML::Node const node = map[key];
-    if (!node)
-    {
-        if (required)
-            complain(c, map, key, "is missing", "add it");
-        return std::nullopt;
-    }
-    if (!node.IsScalar())
-    {
-        complain(c, node, key, "is not a single value", "write one value");
-        return std::nullopt;
-    }
-    return node.Scalar();
-}
-
-void allow_only(
-    check& c, YAML::Node const& map, std::string const& where,
-    std::set<std::string> const& allowed)
-{
-    for (auto const& item : map)
-    {
-        std::string const key = item.first.Scalar();
-        if (allowed.contains(key))
-            continue;
-        std::string list;
-        for (std::string const& name : allowed)
-            list += (list.empty() ? "" : ", ") + name;
-        complain(
-            c, item.first, where + key, "is not a known key",
-            "remove it, or write one of: " + list);
-    }
-}
-
-template <class Name>
-Name read_name(check& c, YAML::Node const& map, std::string const& key)
-{
-    std::optional<std::string> const text = scalar(c, map, key, true);
-    if (!text)
-        return {};
-    if (is_name(*text))
-        return Name::make(*text).value();
-    complain(
-        c, map[key], key, "'" + *text + "' is not a name",
-        "write 1 to 64 characters out of a-z 0-9 - _ .");
-    return {};
-}
-
-bool is_ip_number(std::string const& text)
-{
-    int parts = 0;
-    std::istringstream in(text);
-    for (std::string part; std::getline(in, part, '.'); ++parts)
-    {
-        int value = -1;
-        auto const end = part.data() + part.size();
-        auto const [stop, error] = std::from_chars(part.data(), end, value);
-        if (error != std::errc{} || stop != end || value < 0 || value > 255)
-            return false;
-    }
-    return parts == 4 && text.back() != '.';
-}
-
-endpoint read_endpoint(
-    check& c, YAML::Node const& map, std::string const& key,
-    std::string const& where)
-{
-    std::optional<std::string> const text = scalar(c, map, key, true);
-    if (!text)
-        return {};
-    std::size_t const colon = text->rfind(':');
-    std::string const address = text->substr(0, colon);
-    int port = 0;
-    if (colon != std::string::npos)
-        std::from_chars(
-            text->data() + colon + 1, text->data() + text->size(), port);
-    bool const digits = colon != std::string::npos &&
-                        std::to_string(port) == text->substr(colon + 1);
-    if (!digits || port < 1 || port > 65535 || !is_ip_number(address))
-    {
-        complain(
-            c, map[key], where + key, "'" + *text + "' is not an address",
-            "write an IPv4 number and a port, such as 10.0.0.7:7070");
-        return {};
-    }
-    return {address, static_cast<std::uint16_t>(port)};
-}
-
-void read_number(
-    check& c, YAML::Node const& map, std::string const& key,
-    std::uint32_t least, std::uint32_t most, std::uint32_t& into)
-{
-    std::optional<std::string> const text = scalar(c, map, key, false);
-    if (!text)
-        return;
-    std::uint32_t value = 0;
-    auto const end = text->data() + text->size();
-    auto const [stop, error] = std::from_chars(text->data(), end, value);
-    if (error == std::errc{} && stop == end && value >= least && value <= most)
-    {
-        into = value;
-        return;
-    }
-    complain(
-        c, map[key], key, "'" + *text + "' is out of range or has a unit",
-        "write a whole number from " + std::to_string(least) + " to " +
-            std::to_string(most));
-}
-
 void read_roles(check& c, YAML::Node const& map)
 {
     YAML::Node const roles = map["roles"];
@@ -179,7 +46,9 @@
             "add callers, peers and operators under it");
     allow_only(c, listen, "listen.", {"callers", "peers", "operators"});
     daemon_settings& s = c.settings_;
-    s.callers_ = read_endpoint(c, listen, "callers", "listen.");
+    // With the section infrastructure, callers come by that section's address.
+    if (!map["infrastructure"] || listen["callers"])
+        s.callers_ = read_endpoint(c, listen, "callers", "listen.");
     s.peers_ = read_endpoint(c, listen, "peers", "listen.");
     s.operators_ = read_endpoint(c, listen, "operators", "listen.");
     std::set<endpoint> const distinct{s.callers_, s.peers_, s.operators_};
@@ -189,9 +58,41 @@
             "give each its own port");
 }
 
+// Addresses of some control hosts; each host is named by its address, and all
+// use the same port for peers.
+void read_control_seeds(check& c, YAML::Node const& map)
+{
+    YAML::Node const seeds = map["control_seeds"];
+    daemon_settings& s = c.settings_;
+    s.control_hosts_learnt_ = true;
+    if (map["control_hosts"])
+        complain(
+            c, map["control_hosts"], "control_hosts",
+            "stands beside control_seeds", "keep one of them");
+    if (!seeds.IsSequence() || seeds.size() == 0)
+        return complain(
+            c, seeds, "control_seeds", "is no list of addresses",
+            "list the address of at least one control host");
+    for (YAML::Node const& node : seeds)
+    {
+        std::optional<endpoint> const seed =
+            node.IsScalar() ? parse_endpoint(node.Scalar()) : std::nullopt;
+        if (!seed)
+            complain(
+                c, node, "control_seeds", "is not an address",
+                "write an IPv4 number and a port");
+        else
+            s.control_hosts_.push_back(
+                {host_name::make(seed->address_).value(),
+                 {seed->address_, s.peers_.port_}});
+    }
+}
+
 void read_control_hosts(check& c, YAML::Node const& map)
 {
     YAML::Node const hosts = map["control_hosts"];
+    if (map["control_seeds"])
+        return read_control_seeds(c, map);
     if (!hosts || !hosts.IsSequence() || hosts.size() == 0)
         return complain(
             c, hosts ? hosts : map, "control_hosts", "is no list of hosts",
@@ -223,8 +124,24 @@
             "list 1, 3, 5 or 7 hosts");
 }
 
+// A secret that stands in the settings themselves, for places that keep no
+// files of secrets.
+std::optional<std::string>
+read_inline_secret(check& c, YAML::Node const& map, std::string const& key)
+{
+    std::optional<std::string> const secret = scalar(c, map, key, false);
+    if (secret && secret->size() < least_secret_characters)
+        complain(
+            c, map[key], key, "is a short secret",
+            "write at least 16 random characters");
+    return secret;
+}
+
 std::string read_secret(check& c, YAML::Node const& map, std::string const& key)
 {
+    if (std::optional<std::string> const here = read_inline_secret(
+            c, map, key.substr(0, key.size() - std::strlen("_file"))))
+        return *here;
     std::optional<std::string> const path = scalar(c, map, key, true);
     if (!path)
         return {};
@@ -281,12 +198,12 @@
         s.control_hosts_.begin(), s.control_hosts_.end(),
         [&](control_host const& h) { return h.host_ == s.host_; });
     bool const listed = own != s.control_hosts_.end();
-    if (s.control_ && !listed)
+    if (s.control_ && !listed && !s.control_hosts_learnt_)
         complain(
             c, map, "control_hosts",
             "this host has the role control but is not listed",
             "list it, or remove the role");
-    if (!s.control_ && listed)
+    if (!s.control_ && listed && !s.control_hosts_learnt_)
         complain(
             c, map, "control_hosts",
             "this host is listed but has not the role control",
@@ -310,7 +227,9 @@
     allow_only(
         c, map, "",
         {"host", "region", "zone", "roles", "listen", "control_hosts",
-         "data_folder", "fleet_secret_file", "operator_token_file", "log",
+         "control_seeds", "first_start", "infrastructure", "data_folder",
+         "fleet_secret", "fleet_secret_file", "operator_token",
+         "operator_token_file", "log",
          "retries_per_request", "newest_schema", "max_connections"});
     daemon_settings& s = c.settings_;
     s.host_ = read_name<host_name>(c, map, "host");
@@ -324,9 +243,12 @@
         s.data_folder_ = c.folder_ + "/" + s.data_folder_;
     s.fleet_secret_ = read_secret(c, map, "fleet_secret_file");
     s.operator_token_ = read_secret(c, map, "operator_token_file");
+    read_flag(c, map, "first_start", s.first_start_);
+    if (map["infrastructure"])
+        read_infrastructure(c, map);
     read_log(c, map);
     read_number(c, map, "retries_per_request", 0, 10, s.retries_);
-    read_number(c, map, "newest_schema", 1, 2, s.newest_schema_);
+    read_number(c, map, "newest_schema", 1, 3, s.newest_schema_);
     read_number(c, map, "max_connections", 16, 16384, s.max_connections_);
     check_control_role(c, map);
 }
--- a/packages/settings/jackdawhall/settings/daemon_settings.hpp
+++ b/packages/settings/jackdawhall/settings/daemon_settings.hpp
@@ -24,6 +24,26 @@
     auto operator<=>(control_host const&) const = default;
 };
 
+// The users' infrastructure, on which a daemon may run: its addresses, and the
+// bounds that it sets.
+struct infrastructure
+{
+    endpoint callers_;   // for the role call
+    endpoint readiness_; // for the role call
+    endpoint orders_;    // of backend servers and operators
+    endpoint backend_;   // the backend server beside this daemon
+    service_name beside_;
+    std::uint32_t lost_disks_ = 0; // that must not lose an accepted change
+    std::uint32_t revoke_ms_ = 5000;   // for a withdrawn key to be dead
+    std::uint32_t in_force_ms_ = 5000; // for a change to be in force
+    std::uint32_t grace_s_ = 30;       // from the stop signal to the kill
+    double retry_share_ = 0.1; // of a service's requests, by all daemons
+    double retry_slack_ = 0;   // retries beside that
+    double rate_overage_ = 0;  // share by which a rate may be exceeded
+    double rate_slack_ = 0;    // requests beside that
+    auto operator<=>(infrastructure const&) const = default;
+};
+
 struct daemon_settings
 {
     host_name host_;
@@ -34,13 +54,17 @@
     endpoint peers_;       // frames, from other daemons
     endpoint operators_;   // HTTP, from operators and monitoring
     std::vector<control_host> control_hosts_; // in order of preference
+    // control_hosts_ are only some of them; the others are learnt.
+    bool control_hosts_learnt_ = false;
+    bool first_start_ = true; // whether this may be the first start of all
+    std::optional<infrastructure> infrastructure_;
     std::string data_folder_;                 // for the role control
     std::string fleet_secret_;   // at least 16 characters, from a file
     std::string operator_token_; // at least 16 characters, from a file
     std::string log_level_ = "info";
     log_format log_format_ = log_format::text;
     std::uint32_t retries_ = 3;       // of a request, over its whole chain
-    std::uint32_t newest_schema_ = 2; // of configuration records
+    std::uint32_t newest_schema_ = 3; // of configuration records
     std::uint32_t max_connections_ = 4096;
     auto operator<=>(daemon_settings const&) const = default;
 };
--- a/packages/wire/jackdawhall/wire/codec.cpp
+++ b/packages/wire/jackdawhall/wire/codec.cpp
@@ -106,6 +106,16 @@
         return as_body<service_v1>(bytes);
     if (key.kind_ == "suspect" && key.schema_ == 1)
         return as_body<suspect_v1>(bytes);
+    if (key.kind_ == "account" && key.schema_ == 3)
+        return as_body<account_v3>(bytes);
+    if (key.kind_ == "key" && key.schema_ == 2)
+        return as_body<key_v2>(bytes);
+    if (key.kind_ == "route" && key.schema_ == 2)
+        return as_body<route_v2>(bytes);
+    if (key.kind_ == "service" && key.schema_ == 2)
+        return as_body<service_v2>(bytes);
+    if (key.kind_ == "limits" && key.schema_ == 1)
+        return as_body<limits_v1>(bytes);
     return unknown_record{bytes};
 }
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -43,6 +43,27 @@
     &route_v1::rank_, &route_v1::open_, &route_v1::repeatable_,
     &route_v1::timeout_ms_)
 JACKDAWHALL_FIELDS(service_v1, &service_v1::draining_)
+JACKDAWHALL_FIELDS(
+    account_v3, &account_v3::milli_rate_, &account_v3::burst_,
+    &account_v3::rank_)
+JACKDAWHALL_FIELDS(key_v2, &key_v2::account_)
+JACKDAWHALL_FIELDS(
+    weighted_service, &weighted_service::service_, &weighted_service::weight_)
+JACKDAWHALL_FIELDS(
+    route_v2, &route_v2::virtual_host_, &route_v2::path_prefix_,
+    &route_v2::services_, &route_v2::rank_, &route_v2::open_,
+    &route_v2::repetition_, &route_v2::timeout_ms_, &route_v2::objective_ms_,
+    &route_v2::attempts_)
+JACKDAWHALL_FIELDS(
+    service_v2, &service_v2::draining_, &service_v2::connections_)
+JACKDAWHALL_FIELDS(
+    limits_v1, &limits_v1::header_bytes_, &limits_v1::body_bytes_,
+    &limits_v1::header_time_ms_, &limits_v1::idle_time_ms_)
+JACKDAWHALL_FIELDS(
+    document, &document::version_, &document::base_, &document::digest_,
+    &document::text_, &document::contents_)
+JACKDAWHALL_FIELDS(
+    document_command, &document_command::document_, &document_command::when_)
 JACKDAWHALL_FIELDS(suspect_v1, &suspect_v1::crashes_, &suspect_v1::expires_ms_)
 JACKDAWHALL_FIELDS(
     change, &change::operation_id_, &change::author_, &change::edits_)
@@ -78,7 +99,9 @@
     snapshot, &snapshot::last_index_, &snapshot::last_term_, &snapshot::voters_,
     &snapshot::revision_, &snapshot::oldest_removal_, &snapshot::records_,
     &snapshot::removals_, &snapshot::operations_, &snapshot::history_,
-    &snapshot::claims_, &snapshot::claims_horizon_)
+    &snapshot::claims_, &snapshot::claims_horizon_,
+    &snapshot::document_version_, &snapshot::document_text_,
+    &snapshot::document_records_)
 JACKDAWHALL_FIELDS(
     control::hard_state, &control::hard_state::term_,
     &control::hard_state::voted_for_)
@@ -111,7 +134,14 @@
     configuration_update, &configuration_update::from_,
     &configuration_update::to_, &configuration_update::whole_,
     &configuration_update::records_, &configuration_update::removals_)
+JACKDAWHALL_FIELDS(control_hosts_known, &control_hosts_known::hosts_)
+JACKDAWHALL_FIELDS(
+    account_demand, &account_demand::account_, &account_demand::milli_rate_)
+JACKDAWHALL_FIELDS(
+    rate_share, &rate_share::account_, &rate_share::parts_per_million_)
 JACKDAWHALL_FIELDS(location, &location::region_, &location::zone_)
+JACKDAWHALL_FIELDS(
+    located_host, &located_host::host_, &located_host::location_)
 JACKDAWHALL_FIELDS(endpoint, &endpoint::address_, &endpoint::port_)
 JACKDAWHALL_FIELDS(
     backend_server, &backend_server::host_, &backend_server::location_,
@@ -121,19 +151,23 @@
 JACKDAWHALL_FIELDS(
     renewal, &renewal::host_, &renewal::incarnation_, &renewal::stamp_,
     &renewal::have_, &renewal::newest_schema_, &renewal::location_,
-    &renewal::servers_, &renewal::wanted_, &renewal::membership_version_)
+    &renewal::servers_, &renewal::wanted_, &renewal::membership_version_,
+    &renewal::demand_)
 JACKDAWHALL_FIELDS(
     service_servers, &service_servers::service_, &service_servers::servers_)
 JACKDAWHALL_FIELDS(
     renewal_answer, &renewal_answer::incarnation_, &renewal_answer::stamp_,
     &renewal_answer::age_, &renewal_answer::confirmed_,
     &renewal_answer::update_, &renewal_answer::leader_,
-    &renewal_answer::membership_version_, &renewal_answer::services_)
+    &renewal_answer::membership_version_, &renewal_answer::services_,
+    &renewal_answer::control_hosts_, &renewal_answer::shares_,
+    &renewal_answer::daemons_)
 JACKDAWHALL_FIELDS(
     membership_report, &membership_report::origin_,
     &membership_report::incarnation_, &membership_report::from_version_,
     &membership_report::to_version_, &membership_report::present_,
-    &membership_report::gone_)
+    &membership_report::gone_, &membership_report::location_,
+    &membership_report::daemons_, &membership_report::demand_)
 JACKDAWHALL_FIELDS(membership_wanted, &membership_wanted::asker_)
 
 JACKDAWHALL_FIELDS(
@@ -171,6 +205,10 @@
 JACKDAWHALL_FIELDS(
     change_response, &change_response::number_, &change_response::outcome_)
 
+JACKDAWHALL_FIELDS(
+    document_request, &document_request::number_, &document_request::asker_,
+    &document_request::document_)
+
 JACKDAWHALL_FIELDS(header, &header::name_, &header::value_)
 JACKDAWHALL_FIELDS(
     request, &request::method_, &request::path_, &request::headers_,
@@ -182,7 +220,8 @@
 JACKDAWHALL_FIELDS(
     call_context, &call_context::root_, &call_context::account_,
     &call_context::rank_, &call_context::timeout_, &call_context::retries_,
-    &call_context::depth_, &call_context::repeatable_)
+    &call_context::depth_, &call_context::repeatable_, &call_context::caller_,
+    &call_context::objective_)
 JACKDAWHALL_FIELDS(
     forward, &forward::number_, &forward::service_, &forward::server_id_,
     &forward::context_, &forward::suspect_, &forward::request_)
--- a/packages/wire/jackdawhall/wire/json.cpp
+++ b/packages/wire/jackdawhall/wire/json.cpp
@@ -237,6 +237,46 @@
                 return json{
                     {"crashes", s.crashes_}, {"expires_ms", s.expires_ms_}};
             },
+            [](account_v3 const& a)
+            {
+                json object{
+                    {"rate", rate_json(a.milli_rate_)}, {"burst", a.burst_}};
+                if (a.rank_)
+                    object["rank"] = *a.rank_;
+                return object;
+            },
+            [](key_v2 const& k) {
+                return json{{"account", k.account_.str()}};
+            },
+            [](route_v2 const& r)
+            {
+                json services = json::object();
+                for (weighted_service const& s : r.services_)
+                    services[s.service_.str()] = s.weight_;
+                return json{
+                    {"virtual_host", r.virtual_host_},
+                    {"path", r.path_prefix_},
+                    {"services", std::move(services)},
+                    {"rank", r.rank_},
+                    {"open", r.open_},
+                    {"repetition", to_text(r.repetition_)},
+                    {"timeout_ms", r.timeout_ms_},
+                    {"objective_ms", r.objective_ms_},
+                    {"attempts", r.attempts_}};
+            },
+            [](service_v2 const& s)
+            {
+                return json{
+                    {"draining", s.draining_}, {"connections", s.connections_}};
+            },
+            [](limits_v1 const& l)
+            {
+                return json{
+                    {"header_bytes", l.header_bytes_},
+                    {"body_bytes", l.body_bytes_},
+                    {"header_time_ms", l.header_time_ms_},
+                    {"idle_time_ms", l.idle_time_ms_}};
+            },
             [](unknown_record const&) { return json::object(); },
         },
         body);
--- a/packages/wire/jackdawhall/wire/protocol.hpp
+++ b/packages/wire/jackdawhall/wire/protocol.hpp
@@ -58,6 +58,9 @@
 struct is_pair<std::pair<L, R>> : std::true_type
 {
 };
+// A body in the place that its key names.
+using placed_body = std::pair<record_key, record_body>;
+
 template <class T>
 struct is_name : std::false_type
 {
@@ -267,7 +270,7 @@
         using element = typename T::value_type;
         write_list(out, v ? std::vector<element>{*v} : std::vector<element>{});
     }
-    else if constexpr (is_pair<T>::value)
+    else if constexpr (is_pair<T>::value && !std::is_same_v<T, placed_body>)
         write_struct(out, std::tie(v.first, v.second));
     else if constexpr (is_variant<T>::value)
     {
@@ -286,6 +289,11 @@
         std::string const body = write_body(v.body_);
         write_struct(out, std::tie(v.key_, v.revision_, body));
     }
+    else if constexpr (std::is_same_v<T, placed_body>)
+    {
+        std::string const body = write_body(v.second);
+        write_struct(out, std::tie(v.first, body));
+    }
     else if constexpr (std::is_same_v<T, edit>)
     {
         std::vector<std::string> body;
@@ -344,7 +352,7 @@
         if (!elements.empty())
             v = std::move(elements.front());
     }
-    else if constexpr (is_pair<T>::value)
+    else if constexpr (is_pair<T>::value && !std::is_same_v<T, placed_body>)
         read_struct(in, std::tie(v.first, v.second));
     else if constexpr (is_variant<T>::value)
         read_union(in, v);
@@ -354,6 +362,12 @@
         read_struct(in, std::tie(v.key_, v.revision_, body));
         v.body_ = read_body(v.key_, body);
     }
+    else if constexpr (std::is_same_v<T, placed_body>)
+    {
+        std::string body;
+        read_struct(in, std::tie(v.first, body));
+        v.second = read_body(v.first, body);
+    }
     else if constexpr (std::is_same_v<T, edit>)
     {
         std::vector<std::string> body;
