Give tokens of shared rates at the nearest control host

Cause: an account's burst cut into one part a daemon is below one request for a small account, so requests within the allotment got 429. Ruled out: over-committed parts with later accounting (the overshoot of a sudden sevenfold demand exceeds the tolerance before the news is back).

--- a/packages/calls/jackdawhall/calls/passage.hpp
+++ b/packages/calls/jackdawhall/calls/passage.hpp
@@ -48,8 +48,6 @@
 passage check_suspect(passage p);
 // Takes a token of the account's rate.
 passage take_token(passage p);
-// Takes a part of the account's shared rate, or waits for it a little.
-passage take_share(passage p);
 // Takes the claim for a request that may not be repeated.
 passage take_claim(passage p);
 // Chooses a backend server.
@@ -109,7 +107,11 @@
 work name_control_hosts(work w, control_hosts_named const& named);
 // What this daemon's accounts asked for lately.
 std::vector<account_demand> recent_demand(state const& s, instant now);
-void take_shares(state& s, renewal_answer const& a);
+bool has_shared_rate(state const& s, account_name const& name);
+void count_shared_demand(state& s, account_name const& name, instant now);
+// Spends of what this daemon may use without a control host; false if nothing
+// is left.
+bool spend_own_part(state& s, account_name const& name, instant now);
 work take_grant(work w, grant_response const& r);
 // Returns idle tokens and asks again for waiting calls.
 work tend_tokens(work w);
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -237,7 +237,7 @@
         s.control_.membership_version_ = a.membership_version_;
     for (service_servers const& update : a.services_)
         take_servers(s, update, w.at_.now_);
-    take_shares(s, a);
+    s.daemons_ = a.daemons_;
     take_control_hosts(s, std::move(a.control_hosts_), w.at_.now_);
     return w;
 }
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -33,6 +33,10 @@
 inline constexpr duration control_resend = std::chrono::milliseconds(250);
 // A call waits this long at most for a token that its account may have.
 inline constexpr duration token_wait = std::chrono::milliseconds(300);
+// A call on a shared rate waits for an eighth of its objective, and so long at
+// most.
+inline constexpr duration shared_token_wait = std::chrono::milliseconds(120);
+inline constexpr int shared_wait_divisor = 8;
 // A call waits this long at most while no control host allocates.
 inline constexpr duration allocator_wait = std::chrono::seconds(4);
 inline constexpr std::size_t max_waiting_for_tokens = 256; // per account
@@ -94,14 +98,6 @@
     auto operator<=>(stop_times const&) const = default;
 };
 
-// What an account may exceed its shared rate by, over the whole fleet.
-struct rate_tolerance
-{
-    double share_ = 0;  // of the rate
-    double requests_ = 0; // beside that
-    auto operator<=>(rate_tolerance const&) const = default;
-};
-
 struct settings
 {
     host_name self_;
@@ -119,7 +115,6 @@
     duration announcement_lifetime_ = announcement_lifetime;
     admission_policy admission_ = learnt_limit{};
     retry_allowance retry_allowance_;
-    rate_tolerance rate_tolerance_;
     stop_times stop_times_;
     auto operator<=>(settings const&) const = default;
 };
@@ -192,7 +187,6 @@
     service_name service_;
     bool open_ = false;     // needs no key
     bool needs_idempotency_key_ = false;
-    bool token_promised_ = false; // for the instant at which it goes on
     std::uint32_t most_arrivals_ = 0; // servers that it may reach; 0: any
     std::uint32_t arrivals_ = 0;      // servers that it reached
     std::uint32_t refused_tries_ = 0; // that reached no server
@@ -243,15 +237,14 @@
     auto operator<=>(holding const&) const = default;
 };
 
-// The part of an account's rate that this daemon may use.
-struct rate_bucket
+// An account of a shared rate at this daemon.
+struct rate_use
 {
-    double tokens_ = 0; // below 0: promised to calls that wait
+    double tokens_ = 0; // for when no control host answers
     instant as_of_;
-    double share_ = 0;  // of the account's rate and burst; 0: not told yet
     double demand_ = 0; // requests a second, a moving average
     instant demand_as_of_;
-    auto operator<=>(rate_bucket const&) const = default;
+    auto operator<=>(rate_use const&) const = default;
 };
 
 // --- Routing
@@ -395,7 +388,7 @@
     std::map<std::string, call_number> duplicates_;
     std::map<claim_id, call_number> claims_; // claims of calls in progress
     std::map<account_name, holding> holdings_;
-    std::map<account_name, rate_bucket> buckets_;
+    std::map<account_name, rate_use> uses_;
     std::int64_t daemons_ = 0; // in the fleet, as last told; 0: unknown
     std::map<account_name, double> retry_credits_;
     double retry_allowance_ = 0; // of routes that bound their attempts
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -56,8 +56,8 @@
     std::vector<grant_report> reports;
     for (held_grant& g : h.grants_)
     {
-        if (!g.changed_ && !close)
-            continue;
+        if (g.grant_ == 0 || (!g.changed_ && !close))
+            continue; // nothing to report
         bool const ends = close || g.remaining_ == 0;
         reports.push_back({g.grant_, g.remaining_, ends});
         g.changed_ = false;
@@ -68,6 +68,15 @@
     return reports;
 }
 
+// Shared rates are given out by every control host, others by the leader.
+host_name token_host(state const& s, account_name const& account)
+{
+    control_link const& link = s.control_;
+    if (has_shared_rate(s, account) && !link.hosts_.empty())
+        return link.hosts_.at(link.current_);
+    return leader_host(s);
+}
+
 void ask(work& w, account_name const& account, holding& h, bool report_only)
 {
     state& s = w.state_;
@@ -88,7 +97,7 @@
         h.ask_again_ = w.at_.now_ + control_resend;
     }
     if (!report_only || !r.reports_.empty())
-        tell(w, leader_host(s), std::move(r));
+        tell(w, token_host(s, account), std::move(r));
 }
 
 bool asked_lately(holding const& h, instant now)
@@ -98,14 +107,19 @@
 
 bool is_small(state const& s, account_name const& account)
 {
+    if (has_shared_rate(s, account))
+        return false; // its tokens count as spent
     auto const a = s.configuration_.accounts_.find(account);
     return a != s.configuration_.accounts_.end() &&
            a->second.burst_ < small_burst;
 }
 
 // How long a call may wait for a token, from its start.
-duration longest_wait(holding const& h)
+duration longest_wait(state const& s, entry_call const& c, holding const& h)
 {
+    if (has_shared_rate(s, c.context_.account_))
+        return std::min(
+            shared_token_wait, c.context_.objective_ / shared_wait_divisor);
     return h.allocated_ ? token_wait : allocator_wait;
 }
 
@@ -116,9 +130,12 @@
     bool const waits =
         std::find(h.waiting_.begin(), h.waiting_.end(), c.number_) !=
         h.waiting_.end();
-    instant const until = c.since_ + longest_wait(h);
+    instant const until = c.since_ + longest_wait(p.state_, c, h);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
+        if (!h.allocated_ && has_shared_rate(p.state_, c.context_.account_) &&
+            spend_own_part(p.state_, c.context_.account_, now))
+            return p;
         refusal_reason const why = h.allocated_
                                        ? refusal_reason::rate_exceeded
                                        : refusal_reason::rate_unavailable;
@@ -185,12 +202,13 @@
     account_name const account = p.call_.context_.account_;
     if (p.call_.parent_ || account.empty())
         return p;
-    auto const known = p.state_.configuration_.accounts_.find(account);
-    bool const shared =
-        known != p.state_.configuration_.accounts_.end() &&
-        std::holds_alternative<shared_rate>(known->second.policy_);
-    if (shared)
-        return take_share(std::move(p));
+    if (has_shared_rate(p.state_, account))
+    {
+        if (p.state_.configuration_.accounts_.at(account).milli_rate_ == 0)
+            return p; // no limit
+        if (!p.call_.wake_)
+            count_shared_demand(p.state_, account, p.at_.now_);
+    }
     work w{std::move(p.state_), std::move(p.effects_), p.at_};
     holding& h = w.state_.holdings_[account];
     bool const first_time = !p.call_.wake_ && p.call_.attempts_ == 0;
@@ -210,6 +228,8 @@
         holding& held = w.state_.holdings_[account];
         p = wait_for_token(std::move(p), held);
         bool const waits = std::holds_alternative<waiting>(p.flow_);
+        if (!waits)
+            std::erase(held.waiting_, p.call_.number_);
         if (waits && !asked_lately(held, w.at_.now_) &&
             w.at_.now_ >= held.ask_again_)
             ask(w, account, held, false);
@@ -238,9 +258,11 @@
         resume_waiting(w, r.account_);
         return w;
     }
-    if (exhausted && r.retry_after_ > token_wait)
+    duration const most =
+        has_shared_rate(w.state_, r.account_) ? shared_token_wait : token_wait;
+    if (exhausted && r.retry_after_ > most)
     {
-        h.ask_again_ = w.at_.now_ + token_wait;
+        h.ask_again_ = w.at_.now_ + most;
         refuse_waiting(w, r.account_, r.retry_after_);
         return w;
     }
--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -130,8 +130,58 @@
     return response;
 }
 
+// Part of the tolerance that is used: the rest is for parts that change.
+constexpr double used_tolerance = 0.7;
+
 } // namespace
 
+account_limits part_of(
+    account_limits const& whole, rate_tolerance const& tolerance, double share)
+{
+    double const window =
+        std::chrono::duration<double>(tolerance.window_).count();
+    double const rate = static_cast<double>(whole.milli_rate_);
+    double const burst = static_cast<double>(whole.burst_);
+    double const more =
+        used_tolerance *
+        (tolerance.share_ * (rate / 1000 * window + burst) +
+         tolerance.requests_);
+    return {
+        static_cast<std::int64_t>(rate * share),
+        std::max<std::int64_t>(
+            1, static_cast<std::int64_t>((burst + more) * share))};
+}
+
+allocation_step allocate_part(
+    allocation state, account_limits const& part, grant_request const& r,
+    instant now)
+{
+    allocation_step step{std::move(state), std::nullopt};
+    if (r.number_ == 0)
+        return step;
+    auto const [known, fresh] = step.state_.parts_.try_emplace(r.account_);
+    bucket& b = known->second;
+    // A host that has just started does not know what was given before.
+    if (fresh)
+        b.accrued_ = now;
+    accrue(b, part, now);
+    std::int64_t const tokens = tokens_for(b, r);
+    grant_response response = refuse(r, grant_result::exhausted);
+    if (tokens == 0)
+    {
+        response.retry_after_ = time_to_next_token(b, part);
+    }
+    else
+    {
+        response.result_ = grant_result::granted;
+        response.tokens_ = tokens;
+        response.length_ = grant_length;
+        b.level_ -= tokens * token_unit;
+    }
+    step.response_ = response;
+    return step;
+}
+
 std::optional<account_limits>
 limits_of(machine const& m, account_name const& account)
 {
--- a/packages/control/jackdawhall/control/allocate_grants.hpp
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -58,6 +58,7 @@
 {
     std::optional<instant> ready_; // nothing: does not allocate
     std::map<account_name, bucket> buckets_;
+    std::map<account_name, bucket> parts_; // of shared rates, at every host
     std::uint64_t last_grant_ = 0;
     auto operator<=>(allocation const&) const = default;
 };
@@ -70,6 +71,20 @@
     auto operator<=>(account_limits const&) const = default;
 };
 
+// What an account may exceed its shared rate by, over the whole fleet, in any
+// window of the given length.
+struct rate_tolerance
+{
+    double share_ = 0;    // of rate x window + burst
+    double requests_ = 0; // beside that
+    duration window_ = std::chrono::seconds(1);
+    auto operator<=>(rate_tolerance const&) const = default;
+};
+
+// A share of an account's limits, and of most of the tolerance.
+account_limits part_of(
+    account_limits const& whole, rate_tolerance const& tolerance, double share);
+
 // Limits in force for an account, by the newest schema known; nothing if there
 // is no such account.
 std::optional<account_limits>
@@ -87,6 +102,12 @@
     std::optional<grant_response> response_;
 };
 
+// Gives tokens out of this host's own part of a shared rate. What is given
+// counts as spent.
+allocation_step allocate_part(
+    allocation state, account_limits const& part, grant_request const& r,
+    instant now);
+
 // Takes the reports of a request and grants what it asks for, if it can.
 // `may_allocate` says that this host holds the leader's lease.
 allocation_step allocate(
--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -36,11 +36,12 @@
 
 state make_state(
     consensus_settings settings, recovered disk, random_source random,
-    instant now, location const& here)
+    instant now, node_options const& options)
 {
     state s;
     s.membership_.self_ = settings.self_;
-    s.membership_.location_ = here;
+    s.membership_.location_ = options.location_;
+    s.tolerance_ = options.tolerance_;
     s.membership_.others_ = settings.control_hosts_;
     std::erase(s.membership_.others_, settings.self_);
     s.membership_.incarnation_ = random.next();
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -72,11 +72,20 @@
     distribution distribution_;
     membership membership_;
     allocation allocation_;
+    rate_tolerance tolerance_;
     std::multimap<std::string, asker> askers_;   // by operation id
     std::map<std::string, crash_count> crashes_; // by fingerprint
     auto operator<=>(state const&) const = default;
 };
 
+// What a control host is told of its place and of the fleet.
+struct node_options
+{
+    location location_;
+    rate_tolerance tolerance_;
+    auto operator<=>(node_options const&) const = default;
+};
+
 // An outcome that did not come within this time is unknown to its asker.
 inline constexpr duration operation_timeout = std::chrono::seconds(5);
 // A suspect is forgotten this long after its last crash.
@@ -85,7 +94,7 @@
 
 state make_state(
     consensus_settings settings, recovered disk, random_source random,
-    instant now, location const& here = {});
+    instant now, node_options const& options = {});
 
 // --- The node
 // -----------------------------------------------------------------
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -27,11 +27,27 @@
     answer.membership_version_ = s.membership_.version_;
     answer.services_ = changed_services(s.membership_, r);
     answer.control_hosts_ = live_control_hosts(s.membership_, now);
-    answer.shares_ = share_rates(s.membership_, r, now);
     answer.daemons_ = count_daemons(s.membership_, now);
     p.effects_.push_back(send{{r.host_, std::move(answer)}});
 }
 
+// The part of an account's shared rate that this host gives out; nothing if
+// its rate is not shared.
+std::optional<account_limits>
+shared_limits(state const& s, account_name const& account, instant now)
+{
+    auto const held =
+        s.machine_.records_.find({"account", account.str(), 3});
+    if (held == s.machine_.records_.end())
+        return std::nullopt;
+    account_v3 const* a = std::get_if<account_v3>(&held->second.body_);
+    if (!a)
+        return std::nullopt;
+    return part_of(
+        {a->milli_rate_, a->burst_}, s.tolerance_,
+        share_of_host(s.membership_, account, now));
+}
+
 } // namespace
 
 passage distribute(passage p)
@@ -73,9 +89,13 @@
     if (!r)
         return p;
     state& s = p.state_;
-    allocation_step step = allocate(
-        std::move(s.allocation_), s.machine_, *r,
-        holds_lease(s.consensus_, p.at_.now_), p.at_.now_);
+    std::optional<account_limits> const part =
+        shared_limits(s, r->account_, p.at_.now_);
+    allocation_step step =
+        part ? allocate_part(std::move(s.allocation_), *part, *r, p.at_.now_)
+             : allocate(
+                   std::move(s.allocation_), s.machine_, *r,
+                   holds_lease(s.consensus_, p.at_.now_), p.at_.now_);
     s.allocation_ = std::move(step.state_);
     if (step.response_)
         p.effects_.push_back(send{{r->host_, std::move(*step.response_)}});
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -247,35 +247,30 @@
     return step;
 }
 
-std::vector<rate_share>
-share_rates(membership const& state, renewal const& r, instant now)
+double share_of_host(
+    membership const& state, account_name const& account, instant now)
 {
-    std::vector<rate_share> shares;
-    std::int64_t const daemons = std::max<std::int64_t>(
-        1, count_daemons(state, now));
-    for (account_demand const& own : r.demand_)
+    std::int64_t own = 0;
+    for (auto const& daemon : state.attached_)
     {
-        std::int64_t total = 0;
-        for (auto const& daemon : state.attached_)
-        {
-            auto const known = daemon.second.demand_.find(own.account_);
-            if (known != daemon.second.demand_.end())
-                total += known->second;
-        }
-        for (auto const& other : state.origins_)
-        {
-            auto const known = other.second.demand_.find(own.account_);
-            bool const fresh = now - other.second.heard_ < origin_silence;
-            if (fresh && known != other.second.demand_.end())
-                total += known->second;
-        }
-        std::int64_t const by_demand = 1'000'000 - even_parts_per_million;
-        std::int64_t const part =
-            total > 0 ? by_demand * own.milli_rate_ / total : 0;
-        shares.push_back(
-            {own.account_, part + even_parts_per_million / daemons});
+        auto const known = daemon.second.demand_.find(account);
+        own += known == daemon.second.demand_.end() ? 0 : known->second;
     }
-    return shares;
+    std::int64_t total = own;
+    int hosts = 1;
+    for (auto const& other : state.origins_)
+    {
+        if (now - other.second.heard_ >= origin_silence)
+            continue;
+        ++hosts;
+        auto const known = other.second.demand_.find(account);
+        total += known == other.second.demand_.end() ? 0 : known->second;
+    }
+    if (total == 0)
+        return 1.0 / hosts;
+    double const part =
+        static_cast<double>(own) / static_cast<double>(total);
+    return (1 - even_share) * part + even_share / hosts;
 }
 
 std::int64_t count_daemons(membership const& state, instant now)
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -22,9 +22,9 @@
 // A control host that was silent for longer is not named to daemons, and the
 // demand that it reported counts no more.
 inline constexpr duration origin_silence = std::chrono::seconds(4);
-// Part of each account's rate that is shared out evenly, so that a daemon can
-// serve an account that it did not meet before.
-inline constexpr std::int64_t even_parts_per_million = 200'000;
+// Part of each account's rate that is shared out evenly among the control
+// hosts, so that each can serve an account that it did not meet before.
+inline constexpr double even_share = 0.2;
 
 // Host and id of a backend server.
 using server_key = std::pair<host_name, std::string>;
@@ -89,9 +89,10 @@
 changed_services(membership const& state, renewal const& r);
 
 // Takes another control host's report, or asks it for a whole one.
-// The part of each account's rate for which the daemon reported a demand.
-std::vector<rate_share>
-share_rates(membership const& state, renewal const& r, instant now);
+// This host's part of an account's rate, as its daemons' demand is of all
+// daemons' demand; the parts of all control hosts add up to 1.
+double share_of_host(
+    membership const& state, account_name const& account, instant now);
 
 // Daemons heard of lately, by any control host.
 std::int64_t count_daemons(membership const& state, instant now);
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -206,7 +206,7 @@
     }
     control_ = control::make_state(
         consensus_settings(settings_), std::move(disk), random,
-        loop::read_clocks().now_, settings_.location_);
+        loop::read_clocks().now_, node_options(settings_));
     return {};
 }
 
--- a/packages/daemon/jackdawhall/daemon/node_settings.cpp
+++ b/packages/daemon/jackdawhall/daemon/node_settings.cpp
@@ -35,7 +35,6 @@
     to.announcement_lifetime_ = announcement_lifetime;
     to.admission_ = calls::announced_slots{};
     to.retry_allowance_ = {i.retry_share_ * earned_part, 1};
-    to.rate_tolerance_ = {i.rate_overage_, i.rate_slack_};
     duration const grace = std::chrono::seconds(i.grace_s_);
     to.stop_times_ = {grace / accepting_divisor, grace - exit_margin};
 }
@@ -77,4 +76,15 @@
     return made;
 }
 
+control::node_options node_options(settings::daemon_settings const& s)
+{
+    control::node_options made;
+    made.location_ = s.location_;
+    if (s.infrastructure_)
+        made.tolerance_ = {
+            s.infrastructure_->rate_overage_, s.infrastructure_->rate_slack_,
+            std::chrono::seconds(s.infrastructure_->rate_window_s_)};
+    return made;
+}
+
 } // namespace jackdawhall::daemon
--- a/packages/daemon/jackdawhall/daemon/node_settings.hpp
+++ b/packages/daemon/jackdawhall/daemon/node_settings.hpp
@@ -13,4 +13,6 @@
 control::consensus_settings
 consensus_settings(settings::daemon_settings const& s);
 
+control::node_options node_options(settings::daemon_settings const& s);
+
 } // namespace jackdawhall::daemon
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -221,14 +221,6 @@
     auto operator<=>(account_demand const&) const = default;
 };
 
-// The part of an account's rate and burst that a daemon may use.
-struct rate_share
-{
-    account_name account_;
-    std::int64_t parts_per_million_ = 0;
-    auto operator<=>(rate_share const&) const = default;
-};
-
 // A control host that was heard of lately.
 struct located_host
 {
@@ -271,7 +263,6 @@
     std::uint64_t membership_version_ = 0;
     std::vector<service_servers> services_; // those that changed
     std::vector<located_host> control_hosts_;
-    std::vector<rate_share> shares_; // of the accounts with a demand
     std::int64_t daemons_ = 0;       // heard of lately, in all
     auto operator<=>(renewal_answer const&) const = default;
 };
--- a/packages/settings/jackdawhall/settings/daemon_settings.hpp
+++ b/packages/settings/jackdawhall/settings/daemon_settings.hpp
@@ -41,6 +41,7 @@
     double retry_slack_ = 0;   // retries beside that
     double rate_overage_ = 0;  // share by which a rate may be exceeded
     double rate_slack_ = 0;    // requests beside that
+    std::uint32_t rate_window_s_ = 1; // over which it counts
     auto operator<=>(infrastructure const&) const = default;
 };
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -137,8 +137,6 @@
 JACKDAWHALL_FIELDS(control_hosts_known, &control_hosts_known::hosts_)
 JACKDAWHALL_FIELDS(
     account_demand, &account_demand::account_, &account_demand::milli_rate_)
-JACKDAWHALL_FIELDS(
-    rate_share, &rate_share::account_, &rate_share::parts_per_million_)
 JACKDAWHALL_FIELDS(location, &location::region_, &location::zone_)
 JACKDAWHALL_FIELDS(
     located_host, &located_host::host_, &located_host::location_)
@@ -160,8 +158,7 @@
     &renewal_answer::age_, &renewal_answer::confirmed_,
     &renewal_answer::update_, &renewal_answer::leader_,
     &renewal_answer::membership_version_, &renewal_answer::services_,
-    &renewal_answer::control_hosts_, &renewal_answer::shares_,
-    &renewal_answer::daemons_)
+    &renewal_answer::control_hosts_, &renewal_answer::daemons_)
 JACKDAWHALL_FIELDS(
     membership_report, &membership_report::origin_,
     &membership_report::incarnation_, &membership_report::from_version_,
