Close a kept connection wherever it ends, and take no status HTTP lacks

Ruled out: the parser (whole answers in the same run were right). Test: correctness/backend_connections; the fault itself shows under the address sanitizer only.

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -21,6 +21,9 @@
 // How long a connection is kept whose server names no time.
 constexpr duration default_keep = std::chrono::seconds(4);
 constexpr std::uint32_t max_answer_header_bytes = 64 << 10;
+// Status codes of HTTP; anything else is no answer.
+constexpr std::uint16_t least_status = 100;
+constexpr std::uint16_t most_status = 599;
 
 // Seconds of "timeout=N" in a Keep-Alive field.
 std::optional<duration> keep_alive_time(std::string const& field)
@@ -205,7 +208,9 @@
     a.status_ = static_cast<std::uint16_t>(message.result_int());
     a.headers_ = headers_of(message.base());
     a.body_ = std::move(message.body());
-    bool const informs = a.status_ >= 100 && a.status_ < 200;
+    if (a.status_ < least_status || a.status_ > most_status)
+        return finish(c, backend_broken{doubt_reason::answer_incomplete});
+    bool const informs = a.status_ < 200;
     bool const foreign =
         !informs && !c.rules_.echoed_name_.empty() &&
         !find_header(a.headers_, c.rules_.echoed_name_).empty() &&
@@ -237,10 +242,7 @@
 void backend_client::take_end(connection& c, bool clean)
 {
     if (!c.run_)
-    {
-        std::erase(kept_[c.to_], &c);
         return drop(c);
-    }
     if (clean && c.rules_.may_lack_length_ && c.parser_->is_header_done() && !c.parser_->is_done())
     {
         // An answer without a length ends with its connection.
@@ -266,10 +268,7 @@
 void backend_client::time_out(connection& c)
 {
     if (!c.run_)
-    {
-        std::erase(kept_[c.to_], &c);
         return drop(c);
-    }
     if (!c.sent_)
         return finish(c, backend_not_connected{});
     finish(c, backend_broken{doubt_reason::deadline_passed});
@@ -300,6 +299,7 @@
     auto const known = connections_.find(&c);
     if (known == connections_.end())
         return;
+    std::erase(kept_[c.to_], &c);
     c.connecting_.reset();
     c.timer_.reset();
     close_fd(std::exchange(c.connecting_fd_, -1));
