Fill shared rates from a host's start, ask for no more than is due, fall back from a full disk

Change: parts fill from the host's start, the fixed tolerance is shared evenly among control hosts, what a gate told counts for 250 ms, a short queue near by goes before another region, links notice a silent peer in 1.5 s, and the control node begins again from its disk without ending the process.

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -88,15 +88,28 @@
 double load(evidence const& e, backend_server const& server, instant now)
 {
     double const limit = e.limit_ != 0 ? e.limit_ : server.slots_;
-    double const used = std::max(e.in_flight_, e.in_use_);
+    bool const current = now - e.told_ < use_lifetime;
+    double const used =
+        current ? std::max(e.in_flight_, e.in_use_) : e.in_flight_;
     return (used + 1) / (limit * warm_share(e, server, now));
 }
 
-bool has_room(state const& s, backend_server const& server, instant now)
+bool has_room(
+    state const& s, backend_server const& server, double most, instant now)
 {
-    return load(evidence_of(s, server), server, now) <= 1;
+    return load(evidence_of(s, server), server, now) <= most;
 }
 
+// Servers that are near enough, and the load up to which they are taken.
+struct tier
+{
+    candidates servers_;
+    double most_ = 1;
+};
+
+// A short queue near by is better than the way to another region.
+constexpr double short_queue = 1.5;
+
 // Own availability zone, then own region, then all; the first with room.
 candidates near(state const& s, candidates const& all, instant now)
 {
@@ -107,11 +120,12 @@
     candidates const region = filter(
         all, [&](backend_server const* server)
         { return server->location_.region_ == here.region_; });
-    for (candidates const& tier : {zone, region})
+    for (tier const& t :
+         {tier{zone, 1}, tier{region, 1}, tier{region, short_queue}})
     {
         candidates roomy = filter(
-            tier, [&](backend_server const* server)
-            { return has_room(s, *server, now); });
+            t.servers_, [&](backend_server const* server)
+            { return has_room(s, *server, t.most_, now); });
         if (!roomy.empty())
             return roomy;
     }
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -152,6 +152,7 @@
     {
         e.in_use_ = a.in_use_;
         e.limit_ = a.limit_;
+        e.told_ = now;
         e.admitted_ = a.admitted_;
         e.admitted_until_ = now + threshold_lifetime;
     }
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -51,6 +51,9 @@
 // An announcement not repeated for this long has ended.
 inline constexpr duration announcement_lifetime = std::chrono::seconds(3);
 inline constexpr duration warm_up = std::chrono::seconds(5);
+// What a gate told of its use counts for this long: while nothing is sent to
+// it, nothing newer is told.
+inline constexpr duration use_lifetime = std::chrono::milliseconds(250);
 // A gate's threshold rank told to entries holds for this long.
 inline constexpr duration threshold_lifetime = std::chrono::milliseconds(500);
 inline constexpr std::uint32_t default_retries = 3; // of a root, in the chain
@@ -256,6 +259,7 @@
     std::uint32_t in_flight_ = 0; // of this daemon
     std::uint32_t in_use_ = 0;    // at the gate, as last told
     std::uint32_t limit_ = 0;     // of the gate, as last told; 0: unknown
+    instant told_;                // when in_use_ and limit_ were told
     duration latency_{0};         // moving average
     rank admitted_ = lowest_rank;
     instant admitted_until_;
--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -136,20 +136,21 @@
 } // namespace
 
 account_limits part_of(
-    account_limits const& whole, rate_tolerance const& tolerance, double share)
+    account_limits const& whole, rate_tolerance const& tolerance,
+    host_part const& part)
 {
     double const window =
         std::chrono::duration<double>(tolerance.window_).count();
     double const rate = static_cast<double>(whole.milli_rate_);
     double const burst = static_cast<double>(whole.burst_);
-    double const more =
-        used_tolerance *
-        (tolerance.share_ * (rate / 1000 * window + burst) +
-         tolerance.requests_);
+    double const more = tolerance.share_ * (rate / 1000 * window + burst);
+    double const even = tolerance.requests_ / part.hosts_;
     return {
-        static_cast<std::int64_t>(rate * share),
+        static_cast<std::int64_t>(rate * part.share_),
         std::max<std::int64_t>(
-            1, static_cast<std::int64_t>((burst + more) * share))};
+            1, static_cast<std::int64_t>(
+                   (burst + used_tolerance * more) * part.share_ +
+                   used_tolerance * even))};
 }
 
 allocation_step allocate_part(
@@ -163,9 +164,10 @@
     bucket& b = known->second;
     // A host that has just started does not know what was given before.
     if (fresh)
-        b.accrued_ = now;
+        b.accrued_ = step.state_.began_;
     accrue(b, part, now);
-    std::int64_t const tokens = tokens_for(b, r);
+    std::int64_t const tokens = std::min(
+        std::max<std::int64_t>(0, r.waiting_), b.level_ / token_unit);
     grant_response response = refuse(r, grant_result::exhausted);
     if (tokens == 0)
     {
--- a/packages/control/jackdawhall/control/allocate_grants.hpp
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -59,6 +59,7 @@
     std::optional<instant> ready_; // nothing: does not allocate
     std::map<account_name, bucket> buckets_;
     std::map<account_name, bucket> parts_; // of shared rates, at every host
+    instant began_; // of this host's run
     std::uint64_t last_grant_ = 0;
     auto operator<=>(allocation const&) const = default;
 };
@@ -81,9 +82,18 @@
     auto operator<=>(rate_tolerance const&) const = default;
 };
 
-// A share of an account's limits, and of most of the tolerance.
+// One host's part of a shared rate: its share by demand, and how many hosts
+// there are, among which what is left of the tolerance is shared evenly.
+struct host_part
+{
+    double share_ = 1;
+    int hosts_ = 1;
+    auto operator<=>(host_part const&) const = default;
+};
+
 account_limits part_of(
-    account_limits const& whole, rate_tolerance const& tolerance, double share);
+    account_limits const& whole, rate_tolerance const& tolerance,
+    host_part const& part);
 
 // Limits in force for an account, by the newest schema known; nothing if there
 // is no such account.
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -45,7 +45,7 @@
         return std::nullopt;
     return part_of(
         {a->milli_rate_, a->burst_}, s.tolerance_,
-        share_of_host(s.membership_, account, now));
+        part_of_host(s.membership_, account, now));
 }
 
 } // namespace
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -247,7 +247,7 @@
     return step;
 }
 
-double share_of_host(
+host_part part_of_host(
     membership const& state, account_name const& account, instant now)
 {
     std::int64_t own = 0;
@@ -267,10 +267,10 @@
         total += known == other.second.demand_.end() ? 0 : known->second;
     }
     if (total == 0)
-        return 1.0 / hosts;
+        return {1.0 / hosts, hosts};
     double const part =
         static_cast<double>(own) / static_cast<double>(total);
-    return (1 - even_share) * part + even_share / hosts;
+    return {(1 - even_share) * part + even_share / hosts, hosts};
 }
 
 std::int64_t count_daemons(membership const& state, instant now)
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 
+#include <jackdawhall/control/allocate_grants.hpp>
 #include <jackdawhall/control/effect.hpp>
 #include <jackdawhall/model.hpp>
 
@@ -90,8 +91,8 @@
 
 // Takes another control host's report, or asks it for a whole one.
 // This host's part of an account's rate, as its daemons' demand is of all
-// daemons' demand; the parts of all control hosts add up to 1.
-double share_of_host(
+// daemons' demand; the shares of all control hosts add up to 1.
+host_part part_of_host(
     membership const& state, account_name const& account, instant now);
 
 // Daemons heard of lately, by any control host.
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 
+#include <jackdawhall/daemon/http_answer.hpp>
 #include <jackdawhall/daemon/node_settings.hpp>
 
 namespace jackdawhall::daemon
@@ -17,6 +18,9 @@
     return f ? f->number_ : 0;
 }
 
+// Time between two tries to use a disk that failed.
+constexpr duration disk_retry = std::chrono::seconds(1);
+
 // Messages for the control node; the others are for the call node.
 bool is_for_control(message const& m)
 {
@@ -272,11 +276,18 @@
 
 void daemon::step_control(control::input in)
 {
+    if (!control_)
+        return;
     control::node_step step =
         control::run(std::move(*control_), std::move(in), loop::read_clocks());
     control_ = std::move(step.state_);
+    std::uint64_t const run = disk_runs_;
     for (control::effect& e : step.effects_)
+    {
+        if (disk_runs_ != run)
+            return;
         carry_out(std::move(e));
+    }
 }
 
 void daemon::arm_timer()
@@ -458,13 +469,50 @@
         [&] { fail_disk("unknown error"); });
 }
 
-// What reached the disk is unknown now; only a restart can tell.
 void daemon::fail_disk(std::string const& what)
 {
+    if (!control_)
+        return;
     log(severity::error, part::control,
-        "the disk failed; stops at once rather than vote on lost memory",
+        "the disk failed; the control node begins again from it",
         {{"what", what}});
-    std::_Exit(EXIT_FAILURE);
+    ++disk_runs_;
+    control_.reset();
+    journal_.reset();
+    held_.clear();
+    last_store_ = synced_store_ = 0;
+    syncing_ = false;
+    for (auto const& waiting : order_documents_)
+        orders_->answer(
+            waiting.second,
+            platform::to_operator(unknown_outcome{"the disk failed"}));
+    order_documents_.clear();
+    for (std::uint64_t const number : std::exchange(operator_changes_, {}))
+        operators_->answer(
+            number,
+            json_answer(
+                200, wire::to_json(unknown_outcome{"the disk failed"}).dump() +
+                         "\n"));
+    restart_.set(disk_retry, [this] { restart_control(); });
+}
+
+void daemon::restart_control()
+{
+    bool const started = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(start_control());
+            return true;
+        },
+        [](user_error const&) { return false; },
+        [](internal_error const&) { return false; }, [] { return false; });
+    if (!started)
+    {
+        journal_.reset();
+        return restart_.set(disk_retry, [this] { restart_control(); });
+    }
+    log(severity::info, part::control, "the disk works again");
+    arm_timer();
 }
 
 void daemon::start_sync()
@@ -477,10 +525,12 @@
     instant const began = loop::read_clocks().now_;
     loop::sync_in_worker(
         job,
-        [this, number, job, began](std::string const& error)
+        [this, number, job, began, run = disk_runs_](std::string const& error)
         {
+            if (disk_runs_ != run)
+                return; // of a control node that has ended
             if (!error.empty())
-                fail_disk(error);
+                return fail_disk(error);
             journal_->finish(job);
             sync_latency_.add(loop::read_clocks().now_ - began);
             syncing_ = false;
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -101,7 +101,10 @@
     bool is_ready() const;
     void follow_limits();
 
-    [[noreturn]] void fail_disk(std::string const& what);
+    // The disk failed: what reached it is unknown, so the control node ends
+    // here and begins again from the disk, as after a restart.
+    void fail_disk(std::string const& what);
+    void restart_control();
 
     settings::daemon_settings settings_;
     loop::event_loop loop_;
@@ -123,6 +126,8 @@
     control::store_number last_store_ = 0;
     control::store_number synced_store_ = 0;
     bool syncing_ = false;
+    std::uint64_t disk_runs_ = 0; // of the control node, in this process
+    loop::event_loop::delayed restart_;
     std::deque<held_effect> held_;
 
     std::map<std::uint64_t, instant> request_began_;
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -230,7 +230,7 @@
     if (!control_)
         return operators_->answer(
             number, error_answer(
-                        421, "this is not a control host",
+                        421, "no control node runs here now",
                         "send changes to a control host"));
     leaf::try_handle_all(
         [&]() -> leaf::result<void>
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -141,9 +141,8 @@
 {
     if (!control_)
         return orders_->answer(
-            number, platform::refuse_order(
-                        {"this is not a control host",
-                         "send configurations to a control host"}));
+            number, platform::to_operator(
+                        unknown_outcome{"no control node runs here now"}));
     log(severity::info, part::operators, "document received",
         {{"version", std::to_string(d.version_)},
          {"base", std::to_string(d.base_)},
--- a/packages/loop/jackdawhall/loop/event_loop.cpp
+++ b/packages/loop/jackdawhall/loop/event_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <ctime>
+#include <utility>
 #include <glib-unix.h>
 
 namespace jackdawhall::loop
@@ -58,6 +59,22 @@
     set_timer_due(timer_, due);
 }
 
+void event_loop::delayed::set(duration after, std::function<void()> f)
+{
+    f_ = std::move(f);
+    if (!timer_)
+        timer_ = make_timer(
+            [](gpointer self) -> gboolean
+            {
+                std::function<void()> const due =
+                    std::exchange(static_cast<delayed*>(self)->f_, {});
+                due();
+                return G_SOURCE_CONTINUE;
+            },
+            this);
+    set_timer_due(timer_, read_clocks().now_ + after);
+}
+
 void event_loop::on_stop_signal(std::function<void()> f)
 {
     on_stop_ = std::move(f);
--- a/packages/loop/jackdawhall/loop/event_loop.hpp
+++ b/packages/loop/jackdawhall/loop/event_loop.hpp
@@ -17,6 +17,17 @@
 public:
     event_loop();
 
+    // Does something once, some time from now.
+    class delayed
+    {
+    public:
+        void set(duration after, std::function<void()> f);
+
+    private:
+        source_ptr timer_;
+        std::function<void()> f_;
+    };
+
     // Runs until quit().
     void run();
     void quit();
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -28,9 +28,9 @@
 
 constexpr duration connect_timeout = std::chrono::seconds(1);
 constexpr duration handshake_timeout = std::chrono::seconds(2);
-constexpr duration probe_after = std::chrono::seconds(1);
-constexpr duration close_after = std::chrono::seconds(3);
-constexpr duration probe_step = std::chrono::milliseconds(500);
+constexpr duration probe_after = std::chrono::milliseconds(500);
+constexpr duration close_after = std::chrono::milliseconds(1500);
+constexpr duration probe_step = std::chrono::milliseconds(300);
 constexpr duration idle_probe = std::chrono::seconds(15);
 constexpr duration idle_close = std::chrono::seconds(60);
 constexpr duration reconnect_delay = std::chrono::milliseconds(200);
