Let all timers share one source of the loop

Cause: GLib wakes its own poll by a write to an event descriptor each time that a source is given a ready time; each request set four or five. Ruled out as the main cost by perf: HTTP parsing and the codec (3 % each).

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -7,7 +7,7 @@
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/http_message.hpp>
-#include <jackdawhall/loop/timer_source.hpp>
+#include <jackdawhall/loop/timer.hpp>
 
 namespace jackdawhall::loop
 {
@@ -55,7 +55,7 @@
     std::optional<response_parser> parser_;
     bool foreign_seen_ = false; // an answer to another request came
     instant kept_until_;
-    source_ptr timer_;
+    timer_ptr timer_;
     source_ptr connecting_;
     int connecting_fd_ = -1;
     std::unique_ptr<byte_stream> stream_;
@@ -67,7 +67,7 @@
     std::string server_id_;
     int fd_ = -1;
     source_ptr connecting_;
-    source_ptr timer_;
+    timer_ptr timer_;
 };
 
 backend_client::backend_client(backend_handlers handlers)
--- a/packages/loop/jackdawhall/loop/event_loop.cpp
+++ b/packages/loop/jackdawhall/loop/event_loop.cpp
@@ -1,6 +1,6 @@
 #include <jackdawhall/loop/event_loop.hpp>
 
-#include <jackdawhall/loop/timer_source.hpp>
+#include <jackdawhall/loop/timer.hpp>
 
 #include <csignal>
 #include <ctime>
--- a/packages/loop/jackdawhall/loop/event_loop.hpp
+++ b/packages/loop/jackdawhall/loop/event_loop.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/loop/timer.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -24,7 +25,7 @@
         void set(duration after, std::function<void()> f);
 
     private:
-        source_ptr timer_;
+        timer_ptr timer_;
         std::function<void()> f_;
     };
 
@@ -47,7 +48,7 @@
         void operator()(GMainLoop* l) const { g_main_loop_unref(l); }
     };
     std::unique_ptr<GMainLoop, loop_deleter> loop_;
-    source_ptr timer_;
+    timer_ptr timer_;
     std::optional<instant> timer_due_; // nothing: not set
     std::function<void()> on_timer_;
     std::function<void()> on_stop_;
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -11,7 +11,7 @@
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/http_message.hpp>
-#include <jackdawhall/loop/timer_source.hpp>
+#include <jackdawhall/loop/timer.hpp>
 
 namespace jackdawhall::loop
 {
@@ -57,7 +57,7 @@
     std::uint64_t number_ = 0;
     std::string method_;
     bool keep_alive_ = true;
-    source_ptr timer_;
+    timer_ptr timer_;
     std::unique_ptr<byte_stream> stream_;
 };
 
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -6,7 +6,7 @@
 
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/socket_options.hpp>
-#include <jackdawhall/loop/timer_source.hpp>
+#include <jackdawhall/loop/timer.hpp>
 
 namespace jackdawhall::loop
 {
@@ -80,7 +80,7 @@
     GSocket* socket_ = nullptr;
     source_ptr readable_;
     source_ptr writable_;
-    source_ptr timer_;
+    timer_ptr timer_;
     std::optional<instant> timer_due_;
     std::string in_;
     std::string out_;
--- a/test/correctness/backend_connections.cpp
+++ b/test/correctness/backend_connections.cpp
@@ -10,7 +10,7 @@
 #include <jackdawhall/loop.hpp>
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/later.hpp>
-#include <jackdawhall/loop/timer_source.hpp>
+#include <jackdawhall/loop/timer.hpp>
 
 using namespace jackdawhall;
 using namespace jackdawhall::loop;
@@ -90,7 +90,7 @@
     std::vector<std::unique_ptr<byte_stream>> streams_;
     byte_stream* late_stream_ = nullptr;
     std::string late_text_;
-    source_ptr late_ = make_timer(
+    timer_ptr late_ = make_timer(
         [](gpointer data) -> gboolean
         {
             scripted_server& self = *static_cast<scripted_server*>(data);
@@ -107,13 +107,7 @@
     event_loop loop;
     std::vector<backend_result> results;
     std::unique_ptr<backend_client> client;
-    source_ptr const pause = make_timer(
-        [](gpointer f) -> gboolean
-        {
-            (*static_cast<std::function<void()>*>(f))();
-            return G_SOURCE_CONTINUE;
-        },
-        nullptr);
+    timer_ptr pause;
     std::function<void()> send = [&]
     {
         rules.echoed_value_ = std::to_string(results.size() + 1);
@@ -121,14 +115,13 @@
             results.size() + 1, {"127.0.0.1", port}, {"GET", "/", {}, {}},
             std::chrono::seconds(2), rules);
     };
-    g_source_set_callback(
-        pause.get(),
+    pause = make_timer(
         [](gpointer f) -> gboolean
         {
             (*static_cast<std::function<void()>*>(f))();
             return G_SOURCE_CONTINUE;
         },
-        &send, nullptr);
+        &send);
     client = std::make_unique<backend_client>(backend_handlers{
         [&](std::uint64_t, backend_result r)
         {
