Pass the state of a call node by a pointer it owns; give shared rates their own waits

With the state behind an owned pointer a fault came to light: take_token asked the state that it had moved from whether the rate is shared, so calls on shared rates waited like those on granted ones.

--- a/packages/calls/jackdawhall/calls/check_access.cpp
+++ b/packages/calls/jackdawhall/calls/check_access.cpp
@@ -60,16 +60,16 @@
 
 passage find_call_route(passage p)
 {
-    if (!p.state_.configuration_.fresh_until_)
+    if (!p.state_->configuration_.fresh_until_)
         return refuse(
             std::move(p), refusal_reason::no_fresh_configuration, lease_retry);
     request const& r = p.call_.request_;
     route const* found = find_route(
-        p.state_.configuration_, r.method_, virtual_host_of(r), r.path_);
+        p.state_->configuration_, r.method_, virtual_host_of(r), r.path_);
     if (!found)
         return refuse(std::move(p), refusal_reason::no_route);
     entry_call& c = p.call_;
-    c.service_ = choose_service(found->services_, p.state_.random_);
+    c.service_ = choose_service(found->services_, p.state_->random_);
     c.open_ = found->open_;
     c.most_arrivals_ = found->attempts_;
     c.context_.repeatable_ = found->repetition_ == repetition::repeatable;
@@ -88,7 +88,7 @@
 passage check_freshness(passage p)
 {
     bool const admitted_before = p.call_.parent_.has_value();
-    if (admitted_before || is_fresh(p.state_.configuration_, p.at_.now_) ||
+    if (admitted_before || is_fresh(p.state_->configuration_, p.at_.now_) ||
         p.call_.open_)
         return p;
     return refuse(
@@ -100,8 +100,8 @@
 
 passage take_account(passage p, account_name const& owner)
 {
-    auto const known = p.state_.configuration_.accounts_.find(owner);
-    if (known == p.state_.configuration_.accounts_.end())
+    auto const known = p.state_->configuration_.accounts_.find(owner);
+    if (known == p.state_->configuration_.accounts_.end())
         return refuse(std::move(p), refusal_reason::key_unknown);
     p.call_.context_.account_ = owner;
     if (known->second.rank_)
@@ -125,11 +125,11 @@
     if (text.empty())
         return refuse(std::move(p), refusal_reason::key_missing);
     if (account_name const* owner =
-            find_account(p.state_.configuration_, text))
+            find_account(p.state_->configuration_, text))
         return take_account(std::move(p), *owner);
     std::optional<presented_key> const key = parse_key(text);
     key_v1 const* known =
-        key ? find_key(p.state_.configuration_, *key) : nullptr;
+        key ? find_key(p.state_->configuration_, *key) : nullptr;
     if (known && known->withdrawn_)
         return refuse(std::move(p), refusal_reason::key_withdrawn);
     if (!known || !equal_in_constant_time(
@@ -141,7 +141,7 @@
 passage check_suspect(passage p)
 {
     std::int64_t const crashes =
-        crashes_of(p.state_.configuration_, p.call_.suspect_, p.at_.wall_);
+        crashes_of(p.state_->configuration_, p.call_.suspect_, p.at_.wall_);
     if (crashes >= quarantine_crashes)
         return refuse(std::move(p), refusal_reason::quarantined);
     return p;
--- a/packages/calls/jackdawhall/calls/check_request.cpp
+++ b/packages/calls/jackdawhall/calls/check_request.cpp
@@ -52,9 +52,9 @@
 
 passage start_root(passage p)
 {
-    p.call_.context_.root_ = root_id(p.call_, p.state_.random_);
-    p.call_.context_.caller_ = p.state_.settings_.beside_;
-    p.call_.retries_left_ = p.state_.settings_.retries_;
+    p.call_.context_.root_ = root_id(p.call_, p.state_->random_);
+    p.call_.context_.caller_ = p.state_->settings_.beside_;
+    p.call_.retries_left_ = p.state_->settings_.retries_;
     return p;
 }
 
@@ -74,13 +74,13 @@
 {
     request const& r = p.call_.request_;
     bool const stopped =
-        p.state_.stopping_ &&
+        p.state_->stopping_ &&
         p.at_.now_ >=
-            *p.state_.stopping_ + p.state_.settings_.stop_times_.accept_;
+            *p.state_->stopping_ + p.state_->settings_.stop_times_.accept_;
     if (stopped && find_header(r.headers_, ticket_header).empty())
         return refuse(
             std::move(p), refusal_reason::stopping, std::chrono::seconds(1));
-    if (p.state_.calls_.size() >= max_calls)
+    if (p.state_->calls_.size() >= max_calls)
         return refuse(
             std::move(p), refusal_reason::overloaded, std::chrono::seconds(1));
     if (r.body_.size() > max_body_bytes || r.path_.size() > max_path_bytes ||
@@ -98,10 +98,10 @@
         find_header(p.call_.request_.headers_, ticket_header);
     if (ticket.empty())
         return start_root(std::move(p));
-    auto const known = p.state_.tickets_.find(ticket);
-    if (known == p.state_.tickets_.end())
+    auto const known = p.state_->tickets_.find(ticket);
+    if (known == p.state_->tickets_.end())
         return refuse(std::move(p), refusal_reason::ticket_invalid);
-    gate_run& run = p.state_.runs_.at(known->second);
+    gate_run& run = p.state_->runs_.at(known->second);
     if (p.at_.now_ >= run.deadline_ || run.context_.depth_ >= max_depth)
         return refuse(std::move(p), refusal_reason::deadline_passed);
     p.call_.context_ = run.context_;
@@ -154,7 +154,7 @@
     std::string const body_hash = fingerprint(
         c.request_.method_ + "|" + c.request_.path_ + "|" + c.request_.body_);
     c.claim_ = held_claim{
-        {c.context_.account_, key}, body_hash, p.state_.random_.hex(16), false};
+        {c.context_.account_, key}, body_hash, p.state_->random_.hex(16), false};
     return p;
 }
 
--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -149,7 +149,7 @@
 // No server of the service is known: perhaps only not yet.
 passage wait_for_server(passage p)
 {
-    state& s = p.state_;
+    state& s = *p.state_;
     want_service(s, p.call_.service_, p.at_.now_);
     if (p.at_.now_ >= p.call_.since_ + server_wait)
         return refuse(
@@ -163,7 +163,7 @@
 
 passage choose_server(passage p)
 {
-    state& s = p.state_;
+    state& s = *p.state_;
     instant const now = p.at_.now_;
     entry_call const& c = p.call_;
     if (is_service_draining(s.configuration_, c.service_))
@@ -187,7 +187,7 @@
 
 passage send_forward(passage p)
 {
-    state& s = p.state_;
+    state& s = *p.state_;
     entry_call& c = p.call_;
     instant const now = p.at_.now_;
     if (now >= c.deadline_)
--- a/packages/calls/jackdawhall/calls/finish_call.cpp
+++ b/packages/calls/jackdawhall/calls/finish_call.cpp
@@ -12,11 +12,11 @@
 
 void release(work& w, held_claim const& c)
 {
-    w.state_.releases_.insert_or_assign(c.id_, c);
-    w.state_.releases_due_ = w.at_.now_ + control_resend;
+    w.state_->releases_.insert_or_assign(c.id_, c);
+    w.state_->releases_due_ = w.at_.now_ + control_resend;
     tell(
-        w, leader_host(w.state_),
-        claim_release{c.id_, c.run_, w.state_.settings_.self_});
+        w, leader_host(*w.state_),
+        claim_release{c.id_, c.run_, w.state_->settings_.self_});
 }
 
 std::size_t size_of(verdict const& v)
@@ -52,7 +52,7 @@
 
 void settle_claim(work& w, entry_call const& c, verdict const& v)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     if (!c.claim_)
         return;
     auto const claimed = s.claims_.find(c.claim_->id_);
@@ -105,7 +105,7 @@
             overloaded{
                 [&](http_caller const& caller)
                 {
-                    w.state_.callers_.erase(caller.number_);
+                    w.state_->callers_.erase(caller.number_);
                     w.effects_.push_back(answer_caller{
                         caller.number_, v, c.context_.root_,
                         c.context_.account_});
@@ -137,12 +137,12 @@
 work finish_call(work w, entry_call c, verdict v)
 {
     settle_claim(w, c, v);
-    auto const held = w.state_.holdings_.find(c.context_.account_);
-    if (held != w.state_.holdings_.end())
+    auto const held = w.state_->holdings_.find(c.context_.account_);
+    if (held != w.state_->holdings_.end())
         std::erase(held->second.waiting_, c.number_);
-    give_back_retries(w.state_, c, is_failure(v), w.at_.now_);
-    keep_root_budget(w.state_, c, w.at_.now_);
-    count_verdict(w.state_.counters_, v);
+    give_back_retries(*w.state_, c, is_failure(v), w.at_.now_);
+    keep_root_budget(*w.state_, c, w.at_.now_);
+    count_verdict(w.state_->counters_, v);
     answer_waiters(w, c, v);
     return w;
 }
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -29,8 +29,8 @@
     a.verdict_ = std::move(v);
     a.retries_unused_ = run.retries_left_;
     a.shed_ = shed;
-    auto const known = w.state_.locals_.find(run.server_id_);
-    if (known != w.state_.locals_.end())
+    auto const known = w.state_->locals_.find(run.server_id_);
+    if (known != w.state_->locals_.end())
     {
         local_server const& server = known->second;
         a.admitted_ = server.admitted_;
@@ -58,8 +58,8 @@
 
 void refuse_run(work& w, call_number number, refusal_reason reason)
 {
-    gate_run const run = std::move(w.state_.runs_.at(number));
-    forget_run(w.state_, run);
+    gate_run const run = std::move(w.state_->runs_.at(number));
+    forget_run(*w.state_, run);
     reply(w, run, not_run{reason, std::chrono::milliseconds(100)}, false);
 }
 
@@ -83,7 +83,7 @@
 // Why a forward cannot even be queued; nothing if it can.
 std::optional<refusal_reason> find_refusal(work const& w, forward const& f)
 {
-    state const& s = w.state_;
+    state const& s = *w.state_;
     auto const known = s.locals_.find(f.server_id_);
     if (known == s.locals_.end() ||
         known->second.announcement_.service_ != f.service_)
@@ -139,7 +139,7 @@
 
 bool is_suspect(work const& w, gate_run const& run)
 {
-    return crashes_of(w.state_.configuration_, run.suspect_, w.at_.wall_) > 0;
+    return crashes_of(w.state_->configuration_, run.suspect_, w.at_.wall_) > 0;
 }
 
 // Two suspects never run at once, so that a second crash names one of them.
@@ -149,13 +149,13 @@
            std::any_of(
                server.running_.begin(), server.running_.end(),
                [&](call_number other)
-               { return is_suspect(w, w.state_.runs_.at(other)); });
+               { return is_suspect(w, w.state_->runs_.at(other)); });
 }
 
 bool is_overloaded(work const& w, local_server const& server)
 {
     return !server.queued_.empty() &&
-           w.at_.now_ - w.state_.runs_.at(server.queued_.front()).since_ >
+           w.at_.now_ - w.state_->runs_.at(server.queued_.front()).since_ >
                queue_target;
 }
 
@@ -166,12 +166,12 @@
     bool const overloaded = is_overloaded(w, server);
     for (call_number const number : server.queued_)
     {
-        gate_run const& run = w.state_.runs_.at(number);
+        gate_run const& run = w.state_->runs_.at(number);
         if (must_wait(w, server, run))
             continue;
         bool const better =
             !best ||
-            runs_before(server, run, w.state_.runs_.at(*best), overloaded);
+            runs_before(server, run, w.state_->runs_.at(*best), overloaded);
         if (better)
             best = number;
     }
@@ -180,15 +180,15 @@
 
 void start_run(work& w, local_server& server, call_number number)
 {
-    gate_run& run = w.state_.runs_.at(number);
+    gate_run& run = w.state_->runs_.at(number);
     std::erase(server.queued_, number);
     server.running_.insert(number);
     server.served_[run.context_.account_] += 1;
     run.running_ = true;
     run.started_ = w.at_.now_;
-    run.ticket_ = w.state_.random_.hex(16);
-    w.state_.tickets_.emplace(run.ticket_, number);
-    ++w.state_.counters_.runs_;
+    run.ticket_ = w.state_->random_.hex(16);
+    w.state_->tickets_.emplace(run.ticket_, number);
+    ++w.state_->counters_.runs_;
     duration const left = run.deadline_ - w.at_.now_;
     request sent = std::exchange(run.request_, {});
     sent.headers_ = without_hop_fields(sent.headers_);
@@ -234,7 +234,7 @@
 
 void shed_worst(work& w, std::string const& server_id)
 {
-    local_server& server = w.state_.locals_.at(server_id);
+    local_server& server = w.state_->locals_.at(server_id);
     while (server.queued_.size() > longest_queue(server))
     {
         bool const overloaded = is_overloaded(w, server);
@@ -243,12 +243,12 @@
             [&](call_number left, call_number right)
             {
                 return runs_before(
-                    server, w.state_.runs_.at(left), w.state_.runs_.at(right),
+                    server, w.state_->runs_.at(left), w.state_->runs_.at(right),
                     overloaded);
             });
         call_number const number = *worst;
         lower_threshold(
-            server, w.state_.runs_.at(number).context_.rank_, w.at_.now_);
+            server, w.state_->runs_.at(number).context_.rank_, w.at_.now_);
         refuse_run(w, number, refusal_reason::shed_at_gate);
     }
 }
@@ -282,20 +282,20 @@
             },
             [](announced_slots const&) {},
         },
-        w.state_.settings_.admission_);
+        w.state_->settings_.admission_);
 }
 
 } // namespace
 
 work admit(work w, host_name const& entry, forward const& f)
 {
-    gate_run run = make_run(w.state_, entry, f, w.at_.now_);
+    gate_run run = make_run(*w.state_, entry, f, w.at_.now_);
     if (std::optional<refusal_reason> const why = find_refusal(w, f))
     {
         reply(w, run, not_run{*why, std::chrono::milliseconds(100)}, false);
         return w;
     }
-    state& s = w.state_;
+    state& s = *w.state_;
     s.locals_.at(f.server_id_).queued_.push_back(run.number_);
     s.run_due_.emplace(run.deadline_, run.number_);
     s.run_of_forward_.emplace(std::pair{run.entry_, run.forward_}, run.number_);
@@ -307,8 +307,8 @@
 
 work start_runs(work w, std::string const& server_id)
 {
-    auto const known = w.state_.locals_.find(server_id);
-    if (known == w.state_.locals_.end())
+    auto const known = w.state_->locals_.find(server_id);
+    if (known == w.state_->locals_.end())
         return w;
     local_server& server = known->second;
     decay_served(server, w.at_.now_);
@@ -318,7 +318,7 @@
         std::optional<call_number> const next = next_to_run(w, server);
         if (!next)
             break;
-        if (w.at_.now_ >= w.state_.runs_.at(*next).deadline_)
+        if (w.at_.now_ >= w.state_->runs_.at(*next).deadline_)
             refuse_run(w, *next, refusal_reason::deadline_passed);
         else
             start_run(w, server, *next);
@@ -328,7 +328,7 @@
 
 work finish_run(work w, backend_done const& done)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     auto const known = s.runs_.find(done.run_);
     if (known == s.runs_.end())
         return w;
@@ -377,14 +377,14 @@
 
 work cancel(work w, host_name const& entry, call_number forward)
 {
-    auto const known = w.state_.run_of_forward_.find({entry, forward});
-    if (known == w.state_.run_of_forward_.end())
+    auto const known = w.state_->run_of_forward_.find({entry, forward});
+    if (known == w.state_->run_of_forward_.end())
         return w;
-    gate_run& run = w.state_.runs_.at(known->second);
+    gate_run& run = w.state_->runs_.at(known->second);
     if (!run.running_)
     {
         gate_run const dropped = std::move(run);
-        forget_run(w.state_, dropped);
+        forget_run(*w.state_, dropped);
     }
     else if (run.context_.repeatable_ && !run.cancelled_)
     {
@@ -396,7 +396,7 @@
 
 work expire_runs(work w)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     while (!s.run_due_.empty() && s.run_due_.begin()->first <= w.at_.now_)
     {
         call_number const number = s.run_due_.begin()->second;
@@ -418,21 +418,21 @@
 
 work drop_server(work w, std::string const& server_id, refusal_reason why)
 {
-    auto const known = w.state_.locals_.find(server_id);
-    if (known == w.state_.locals_.end())
+    auto const known = w.state_->locals_.find(server_id);
+    if (known == w.state_->locals_.end())
         return w;
     std::vector<call_number> const queued = known->second.queued_;
     for (call_number const number : queued)
         refuse_run(w, number, why);
-    w.state_.locals_.erase(server_id);
-    w.state_.control_.renewal_due_ = w.at_.now_;
+    w.state_->locals_.erase(server_id);
+    w.state_->control_.renewal_due_ = w.at_.now_;
     return w;
 }
 
 work take_probe(work w, probed const& p)
 {
-    auto const known = w.state_.locals_.find(p.server_id_);
-    if (known == w.state_.locals_.end())
+    auto const known = w.state_->locals_.find(p.server_id_);
+    if (known == w.state_->locals_.end())
         return w;
     local_server& server = known->second;
     server.probing_ = false;
@@ -448,7 +448,7 @@
     std::set<std::string> suspects;
     for (std::string const& suspect : lately)
     {
-        if (crashes_of(w.state_.configuration_, suspect, w.at_.wall_) > 0)
+        if (crashes_of(w.state_->configuration_, suspect, w.at_.wall_) > 0)
             suspects.insert(suspect);
     }
     if (suspects.empty())
@@ -456,9 +456,9 @@
     w.effects_.push_back(note{"backend server " + p.server_id_ + " is gone"});
     if (!suspects.empty())
         tell(
-            w, leader_host(w.state_),
+            w, leader_host(*w.state_),
             crash_report{
-                w.state_.settings_.self_,
+                w.state_->settings_.self_,
                 p.server_id_,
                 {suspects.begin(), suspects.end()}});
     return drop_server(
--- a/packages/calls/jackdawhall/calls/join_duplicate.cpp
+++ b/packages/calls/jackdawhall/calls/join_duplicate.cpp
@@ -23,7 +23,7 @@
 
 passage join(passage p, call_number first)
 {
-    state& s = p.state_;
+    state& s = *p.state_;
     entry_call& joined = s.calls_.at(first);
     for (waiter const& w : p.call_.waiters_)
     {
@@ -51,7 +51,7 @@
 
 passage count_resend(passage p)
 {
-    state& s = p.state_;
+    state& s = *p.state_;
     drop_old_roots(s, p.at_.now_);
     auto const known = s.roots_.find(p.call_.duplicate_);
     if (known == s.roots_.end())
@@ -67,7 +67,7 @@
 passage join_duplicate(passage p)
 {
     entry_call& c = p.call_;
-    state& s = p.state_;
+    state& s = *p.state_;
     if (c.claim_)
     {
         auto const recent = s.recent_.find(c.claim_->id_);
@@ -94,7 +94,7 @@
     if (!c.parent_)
         p = count_resend(std::move(p));
     if (std::holds_alternative<going>(p.flow_))
-        p.state_.duplicates_.emplace(p.call_.duplicate_, p.call_.number_);
+        p.state_->duplicates_.emplace(p.call_.duplicate_, p.call_.number_);
     else
         p.call_.duplicate_.clear();
     return p;
--- a/packages/calls/jackdawhall/calls/passage.hpp
+++ b/packages/calls/jackdawhall/calls/passage.hpp
@@ -10,7 +10,7 @@
 // A call on its way through the filters of the entry.
 struct passage
 {
-    state state_;
+    owned<state> state_;
     entry_call call_;
     flow flow_ = going{};
     effects effects_;
@@ -20,7 +20,7 @@
 // The node between calls: its state, and what was decided so far.
 struct work
 {
-    state state_;
+    owned<state> state_;
     effects effects_;
     present at_;
 };
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -41,20 +41,20 @@
 work enter(work w, caller_request r)
 {
     entry_call c;
-    c.number_ = next_number(w.state_);
+    c.number_ = next_number(*w.state_);
     c.waiters_.push_back(http_caller{r.number_});
     c.request_ = std::move(r.request_);
     c.since_ = w.at_.now_;
     c.deadline_ = w.at_.now_ + default_timeout;
-    ++w.state_.counters_.requests_;
-    w.state_.callers_[r.number_] = c.number_;
+    ++w.state_->counters_.requests_;
+    w.state_->callers_[r.number_] = c.number_;
     return advance(std::move(w), std::move(c));
 }
 
 // The way of an answer up through the entry.
 work return_answer(work w, forward_answer a)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     auto const known = s.forwards_.find(a.number_);
     if (known == s.forwards_.end())
         return w; // its call was answered before
@@ -98,7 +98,7 @@
 
 work expire_calls(work w)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     while (!s.call_due_.empty() && s.call_due_.begin()->first <= w.at_.now_)
     {
         call_number const number = s.call_due_.begin()->second;
@@ -130,7 +130,7 @@
 
 work leave(work w, caller_left const& left)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     auto const known = s.callers_.find(left.number_);
     if (known == s.callers_.end())
         return w;
@@ -163,10 +163,10 @@
 {
     host_name const& host = p.host_;
     std::vector<call_number> lost;
-    for (auto const& [number, call] : w.state_.forwards_)
+    for (auto const& [number, call] : w.state_->forwards_)
     {
         bool const there =
-            w.state_.calls_.at(call).forward_->server_.host_ == host;
+            w.state_->calls_.at(call).forward_->server_.host_ == host;
         if (there && number <= p.newest_written_)
             lost.push_back(number);
     }
@@ -174,8 +174,8 @@
         w = lose_forward(
             std::move(w), number, may_have_run{doubt_reason::peer_lost});
     std::vector<call_number> orphaned;
-    auto run = w.state_.run_of_forward_.lower_bound({host, 0});
-    for (; run != w.state_.run_of_forward_.end() && run->first.first == host;
+    auto run = w.state_->run_of_forward_.lower_bound({host, 0});
+    for (; run != w.state_->run_of_forward_.end() && run->first.first == host;
          ++run)
         orphaned.push_back(run->first.second);
     for (call_number const forward : orphaned)
@@ -185,7 +185,7 @@
 
 work take_outcome(work w, outcome_response const& r)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     auto const held = std::find_if(
         s.calls_.begin(), s.calls_.end(),
         [&](auto const& c) { return c.second.asked_outcome_ == r.number_; });
@@ -207,8 +207,8 @@
     forward const* f = std::get_if<forward>(&u.outgoing_.message_);
     if (!f)
         return w; // whatever else matters is sent again when due
-    auto const known = w.state_.forwards_.find(f->number_);
-    if (known == w.state_.forwards_.end())
+    auto const known = w.state_->forwards_.find(f->number_);
+    if (known == w.state_->forwards_.end())
         return w;
     forward_answer a;
     a.number_ = f->number_;
@@ -230,18 +230,18 @@
             { w = take_renewal_answer(std::move(w), from, std::move(a)); },
             [&](configuration_update& u)
             {
-                w.state_.configuration_ =
-                    apply_update(std::move(w.state_.configuration_), u);
+                w.state_->configuration_ =
+                    apply_update(std::move(w.state_->configuration_), u);
             },
             [&](grant_response& r) { w = take_grant(std::move(w), r); },
             [&](claim_response& r)
             { w = take_claim_response(std::move(w), r); },
             [&](claim_released& r)
             {
-                auto const held = w.state_.releases_.find(r.id_);
-                if (held != w.state_.releases_.end() &&
+                auto const held = w.state_->releases_.find(r.id_);
+                if (held != w.state_->releases_.end() &&
                     held->second.run_ == r.run_)
-                    w.state_.releases_.erase(held);
+                    w.state_->releases_.erase(held);
             },
             [&](outcome_request& r)
             { w = answer_outcome(std::move(w), r, from); },
@@ -254,10 +254,10 @@
 
 work begin_stop(work w)
 {
-    if (w.state_.stopping_)
+    if (w.state_->stopping_)
         return w;
-    w.state_.stopping_ = w.at_.now_;
-    w.state_.control_.renewal_due_ = w.at_.now_;
+    w.state_->stopping_ = w.at_.now_;
+    w.state_->control_.renewal_due_ = w.at_.now_;
     w.effects_.push_back(note{"stops: takes no new work"});
     return w;
 }
@@ -269,7 +269,7 @@
 
 work finish_stop(work w)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     if (!s.stopping_ || s.stopped_)
         return w;
     stop_times const& times = s.settings_.stop_times_;
@@ -318,26 +318,26 @@
             std::move(w), std::move(p.call_), std::move(end->verdict_));
     if (p.call_.number_ == 0)
         return w; // joined another call
-    watch(w.state_, p.call_);
-    w.state_.calls_.insert_or_assign(p.call_.number_, std::move(p.call_));
+    watch(*w.state_, p.call_);
+    w.state_->calls_.insert_or_assign(p.call_.number_, std::move(p.call_));
     return w;
 }
 
 work resume(work w, call_number call)
 {
-    auto const held = w.state_.calls_.find(call);
-    if (held == w.state_.calls_.end())
+    auto const held = w.state_->calls_.find(call);
+    if (held == w.state_->calls_.end())
         return w;
     entry_call c = std::move(held->second);
-    unwatch(w.state_, c);
-    w.state_.calls_.erase(held);
+    unwatch(*w.state_, c);
+    w.state_->calls_.erase(held);
     c.wake_.reset();
     return advance(std::move(w), std::move(c));
 }
 
 node_step run(state s, input in, present at)
 {
-    work w{std::move(s), {}, at};
+    work w{owned<state>(std::move(s)), {}, at};
     std::visit(
         overloaded{
             [&](received& r)
@@ -356,7 +356,7 @@
             [&](stop_requested&) { w = begin_stop(std::move(w)); },
         },
         in);
-    return {std::move(w.state_), std::move(w.effects_)};
+    return {std::move(*w.state_), std::move(w.effects_)};
 }
 
 state make_state(settings s, random_source random, instant now)
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -61,9 +61,9 @@
 
 void leave_silent_control_host(work& w)
 {
-    control_link& link = w.state_.control_;
+    control_link& link = w.state_->control_;
     instant const now = w.at_.now_;
-    if (now - link.answered_ < w.state_.settings_.control_timeout_)
+    if (now - link.answered_ < w.state_->settings_.control_timeout_)
         return;
     host_name const left = link.hosts_.at(link.current_);
     go_to_control_host(link, (link.current_ + 1) % link.hosts_.size(), now);
@@ -184,11 +184,11 @@
 
 void refuse_queued(work& w, std::string const& id)
 {
-    local_server const server = w.state_.locals_.at(id);
+    local_server const server = w.state_->locals_.at(id);
     w = drop_server(std::move(w), id, refusal_reason::server_draining);
     local_server kept = server;
     kept.queued_.clear();
-    w.state_.locals_.emplace(id, std::move(kept));
+    w.state_->locals_.emplace(id, std::move(kept));
 }
 
 } // namespace
@@ -206,7 +206,7 @@
 
 work renew(work w)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     if (w.at_.now_ < s.control_.renewal_due_ || s.control_.hosts_.empty())
         return w;
     leave_silent_control_host(w);
@@ -220,7 +220,7 @@
 
 work take_renewal_answer(work w, host_name const& from, renewal_answer a)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     if (a.incarnation_ != s.incarnation_)
         return w;
     s.configuration_ = apply_update(std::move(s.configuration_), a.update_);
@@ -244,7 +244,7 @@
 
 work take_announcement(work w, announcement const& a)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     if (is_outdated(s, a))
         return w;
     auto const before = s.locals_.find(a.id_);
@@ -254,7 +254,7 @@
         w = drop_server(std::move(w), a.id_, refusal_reason::no_server);
     if (std::optional<std::string> const old = replaced_by(s, a))
         w = take_probe(std::move(w), {*old, false});
-    auto const [known, fresh] = w.state_.locals_.try_emplace(a.id_);
+    auto const [known, fresh] = w.state_->locals_.try_emplace(a.id_);
     local_server& server = known->second;
     bool const changed =
         fresh || server.announcement_.state_ != a.state_ ||
@@ -273,9 +273,9 @@
     server.announcement_ = a;
     server.heard_ = w.at_.now_;
     for (service_name const& called : a.calls_)
-        want_service(w.state_, called, w.at_.now_);
+        want_service(*w.state_, called, w.at_.now_);
     if (changed)
-        w.state_.control_.renewal_due_ = w.at_.now_;
+        w.state_->control_.renewal_due_ = w.at_.now_;
     if (a.state_ == server_state::draining)
         refuse_queued(w, a.id_);
     return w;
@@ -283,8 +283,8 @@
 
 work end_server(work w, server_gone const& gone)
 {
-    auto const known = w.state_.locals_.find(gone.server_id_);
-    if (known == w.state_.locals_.end())
+    auto const known = w.state_->locals_.find(gone.server_id_);
+    if (known == w.state_->locals_.end())
         return w;
     announcement last = known->second.announcement_;
     // Whatever it said before may still come.
@@ -295,7 +295,7 @@
 
 work name_control_hosts(work w, control_hosts_named const& named)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     s.settings_.control_hosts_ = named.hosts_;
     for (host_name const& host : named.hosts_)
     {
@@ -309,9 +309,9 @@
 work expire_announcements(work w)
 {
     std::vector<std::string> silent;
-    for (auto const& [id, server] : w.state_.locals_)
+    for (auto const& [id, server] : w.state_->locals_)
     {
-        if (w.at_.now_ - server.heard_ > w.state_.settings_.announcement_lifetime_)
+        if (w.at_.now_ - server.heard_ > w.state_->settings_.announcement_lifetime_)
             silent.push_back(id);
     }
     for (std::string const& id : silent)
--- a/packages/calls/jackdawhall/calls/take_claim.cpp
+++ b/packages/calls/jackdawhall/calls/take_claim.cpp
@@ -22,29 +22,29 @@
 // The claim stands for another run. Its holder may know what became of it.
 work ask_holder(work w, call_number number, host_name const& holder)
 {
-    entry_call& c = w.state_.calls_.at(number);
-    if (holder == w.state_.settings_.self_)
+    entry_call& c = w.state_->calls_.at(number);
+    if (holder == w.state_->settings_.self_)
     {
         entry_call held = std::move(c);
-        unwatch(w.state_, held);
-        w.state_.calls_.erase(number);
+        unwatch(*w.state_, held);
+        w.state_->calls_.erase(number);
         return finish_call(
             std::move(w), std::move(held),
             may_have_run{doubt_reason::already_claimed});
     }
-    unwatch(w.state_, c);
+    unwatch(*w.state_, c);
     c.wake_.reset();
-    c.asked_outcome_ = next_number(w.state_);
-    watch(w.state_, c);
+    c.asked_outcome_ = next_number(*w.state_);
+    watch(*w.state_, c);
     tell(w, holder, outcome_request{*c.asked_outcome_, c.claim_->id_});
     return w;
 }
 
 work end_call(work w, call_number number, verdict v)
 {
-    entry_call c = std::move(w.state_.calls_.at(number));
-    unwatch(w.state_, c);
-    w.state_.calls_.erase(number);
+    entry_call c = std::move(w.state_->calls_.at(number));
+    unwatch(*w.state_, c);
+    w.state_->calls_.erase(number);
     return finish_call(std::move(w), std::move(c), std::move(v));
 }
 
@@ -53,7 +53,7 @@
     switch (r.result_)
     {
     case claim_result::granted:
-        w.state_.calls_.at(number).claim_->granted_ = true;
+        w.state_->calls_.at(number).claim_->granted_ = true;
         return resume(std::move(w), number);
     case claim_result::held:
         return ask_holder(std::move(w), number, r.holder_);
@@ -87,8 +87,8 @@
         p.flow_ = waiting{};
         return p;
     }
-    p.state_.claims_.insert_or_assign(c.claim_->id_, c.number_);
-    send_claim(p.state_, p.effects_, *c.claim_);
+    p.state_->claims_.insert_or_assign(c.claim_->id_, c.number_);
+    send_claim(*p.state_, p.effects_, *c.claim_);
     c.wake_ = p.at_.now_ + control_resend;
     p.flow_ = waiting{};
     return p;
@@ -96,13 +96,13 @@
 
 work take_claim_response(work w, claim_response const& r)
 {
-    auto const claimed = w.state_.claims_.find(r.id_);
+    auto const claimed = w.state_->claims_.find(r.id_);
     bool const waits =
-        claimed != w.state_.claims_.end() &&
-        w.state_.calls_.at(claimed->second).claim_->run_ == r.run_;
+        claimed != w.state_->claims_.end() &&
+        w.state_->calls_.at(claimed->second).claim_->run_ == r.run_;
     if (!waits)
         return w; // its call has ended, and finish_call settled the claim
-    entry_call const& c = w.state_.calls_.at(claimed->second);
+    entry_call const& c = w.state_->calls_.at(claimed->second);
     if (c.claim_->granted_ || c.asked_outcome_)
         return w; // answer to a resend of the claim
     return take_result(std::move(w), claimed->second, r);
@@ -110,20 +110,20 @@
 
 work resend_claims(work w)
 {
-    if (w.state_.releases_.empty() || w.at_.now_ < w.state_.releases_due_)
+    if (w.state_->releases_.empty() || w.at_.now_ < w.state_->releases_due_)
         return w;
-    w.state_.releases_due_ = w.at_.now_ + control_resend;
-    for (auto const& held : w.state_.releases_)
+    w.state_->releases_due_ = w.at_.now_ + control_resend;
+    for (auto const& held : w.state_->releases_)
         w.effects_.push_back(send{
-            {leader_host(w.state_),
+            {leader_host(*w.state_),
              claim_release{
-                 held.first, held.second.run_, w.state_.settings_.self_}}});
+                 held.first, held.second.run_, w.state_->settings_.self_}}});
     return w;
 }
 
 work answer_outcome(work w, outcome_request const& r, host_name const& from)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     auto const running = s.claims_.find(r.id_);
     if (running != s.claims_.end())
     {
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -79,7 +79,7 @@
 
 void ask(work& w, account_name const& account, holding& h, bool report_only)
 {
-    state& s = w.state_;
+    state& s = *w.state_;
     grant_request r;
     r.host_ = s.settings_.self_;
     r.incarnation_ = s.incarnation_;
@@ -130,11 +130,11 @@
     bool const waits =
         std::find(h.waiting_.begin(), h.waiting_.end(), c.number_) !=
         h.waiting_.end();
-    instant const until = c.since_ + longest_wait(p.state_, c, h);
+    instant const until = c.since_ + longest_wait(*p.state_, c, h);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
-        if (!h.allocated_ && has_shared_rate(p.state_, c.context_.account_) &&
-            spend_own_part(p.state_, c.context_.account_, now))
+        if (!h.allocated_ && has_shared_rate(*p.state_, c.context_.account_) &&
+            spend_own_part(*p.state_, c.context_.account_, now))
             return p;
         refusal_reason const why = h.allocated_
                                        ? refusal_reason::rate_exceeded
@@ -151,15 +151,15 @@
 void refuse_waiting(work& w, account_name const& account, duration retry_after)
 {
     std::deque<call_number> const late =
-        std::exchange(w.state_.holdings_.at(account).waiting_, {});
+        std::exchange(w.state_->holdings_.at(account).waiting_, {});
     for (call_number const number : late)
     {
-        auto const held = w.state_.calls_.find(number);
-        if (held == w.state_.calls_.end())
+        auto const held = w.state_->calls_.find(number);
+        if (held == w.state_->calls_.end())
             continue;
         entry_call c = std::move(held->second);
-        unwatch(w.state_, c);
-        w.state_.calls_.erase(held);
+        unwatch(*w.state_, c);
+        w.state_->calls_.erase(held);
         w = finish_call(
             std::move(w), std::move(c),
             not_run{refusal_reason::rate_exceeded, retry_after});
@@ -169,7 +169,7 @@
 void resume_waiting(work& w, account_name const& account)
 {
     std::deque<call_number> const served =
-        std::exchange(w.state_.holdings_.at(account).waiting_, {});
+        std::exchange(w.state_->holdings_.at(account).waiting_, {});
     for (call_number const number : served)
         w = resume(std::move(w), number);
 }
@@ -178,7 +178,7 @@
 
 bool spend_token(work& w, account_name const& account)
 {
-    holding& h = w.state_.holdings_[account];
+    holding& h = w.state_->holdings_[account];
     drop_ended_grants(h, w.at_.now_);
     auto const first = std::min_element(
         h.grants_.begin(), h.grants_.end(),
@@ -192,7 +192,7 @@
     if (left * 2 < demand(h) && !asked_lately(h, w.at_.now_) &&
         w.at_.now_ >= h.ask_again_)
         ask(w, account, h, false);
-    else if (is_small(w.state_, account) || first->remaining_ == 0)
+    else if (is_small(*w.state_, account) || first->remaining_ == 0)
         ask(w, account, h, true);
     return true;
 }
@@ -202,15 +202,15 @@
     account_name const account = p.call_.context_.account_;
     if (p.call_.parent_ || account.empty())
         return p;
-    if (has_shared_rate(p.state_, account))
+    if (has_shared_rate(*p.state_, account))
     {
-        if (p.state_.configuration_.accounts_.at(account).milli_rate_ == 0)
+        if (p.state_->configuration_.accounts_.at(account).milli_rate_ == 0)
             return p; // no limit
         if (!p.call_.wake_)
-            count_shared_demand(p.state_, account, p.at_.now_);
+            count_shared_demand(*p.state_, account, p.at_.now_);
     }
     work w{std::move(p.state_), std::move(p.effects_), p.at_};
-    holding& h = w.state_.holdings_[account];
+    holding& h = w.state_->holdings_[account];
     bool const first_time = !p.call_.wake_ && p.call_.attempts_ == 0;
     if (first_time)
         count_demand(h, w.at_.now_);
@@ -221,12 +221,14 @@
     bool const spent = !others_first && spend_token(w, account);
     if (spent)
     {
-        std::erase(w.state_.holdings_[account].waiting_, p.call_.number_);
+        std::erase(w.state_->holdings_[account].waiting_, p.call_.number_);
     }
     else
     {
-        holding& held = w.state_.holdings_[account];
+        holding& held = w.state_->holdings_[account];
+        p.state_ = std::move(w.state_);
         p = wait_for_token(std::move(p), held);
+        w.state_ = std::move(p.state_);
         bool const waits = std::holds_alternative<waiting>(p.flow_);
         if (!waits)
             std::erase(held.waiting_, p.call_.number_);
@@ -241,9 +243,9 @@
 
 work take_grant(work w, grant_response const& r)
 {
-    auto const known = w.state_.holdings_.find(r.account_);
-    if (known == w.state_.holdings_.end() ||
-        r.incarnation_ != w.state_.incarnation_ ||
+    auto const known = w.state_->holdings_.find(r.account_);
+    if (known == w.state_->holdings_.end() ||
+        r.incarnation_ != w.state_->incarnation_ ||
         known->second.asked_ != r.number_)
         return w;
     holding& h = known->second;
@@ -259,7 +261,7 @@
         return w;
     }
     duration const most =
-        has_shared_rate(w.state_, r.account_) ? shared_token_wait : token_wait;
+        has_shared_rate(*w.state_, r.account_) ? shared_token_wait : token_wait;
     if (exhausted && r.retry_after_ > most)
     {
         h.ask_again_ = w.at_.now_ + most;
@@ -273,25 +275,25 @@
 work tend_tokens(work w)
 {
     instant const now = w.at_.now_;
-    for (auto& [account, h] : w.state_.holdings_)
+    for (auto& [account, h] : w.state_->holdings_)
     {
         drop_ended_grants(h, now);
         bool const idle = now - h.last_call_ >= idle_token_lifetime;
         if (idle && !h.grants_.empty())
         {
             grant_request r;
-            r.host_ = w.state_.settings_.self_;
-            r.incarnation_ = w.state_.incarnation_;
+            r.host_ = w.state_->settings_.self_;
+            r.incarnation_ = w.state_->incarnation_;
             r.account_ = account;
             r.reports_ = take_reports(h, true);
-            tell(w, leader_host(w.state_), std::move(r));
+            tell(w, leader_host(*w.state_), std::move(r));
         }
         bool const asks = !h.waiting_.empty() && now >= h.ask_again_;
         if (asks)
             ask(w, account, h, false);
     }
     std::erase_if(
-        w.state_.holdings_,
+        w.state_->holdings_,
         [&](auto const& held)
         {
             holding const& h = held.second;
--- a/test/correctness/schema_versions.cpp
+++ b/test/correctness/schema_versions.cpp
@@ -82,7 +82,9 @@
     {
         for (auto const& daemon :
              fleet.control_of(i).distribution_.subscribers_)
-            reported += daemon.second.newest_schema_ == 2 ? 1 : 0;
+            reported +=
+                daemon.second.newest_schema_ == calls::newest_known_schema ? 1
+                                                                           : 0;
     }
     CHECK(reported >= 5);
 }
