--- a/packages/control/jackdawhall/control/apply_document.cpp
+++ b/packages/control/jackdawhall/control/apply_document.cpp
@@ -103,8 +103,9 @@
         m, {m.revision_, c.when_, "document",
             "version " + std::to_string(wanted.version_)});
     // Only acceptance is remembered: what was refused may be right later.
-    remember_outcome(m, operation, accepted{m.revision_});
-    return {std::move(m), change_applied{operation, accepted{m.revision_}}};
+    accepted const outcome{m.revision_};
+    remember_outcome(m, operation, outcome);
+    return {std::move(m), change_applied{operation, outcome}};
 }
 
 } // namespace jackdawhall::control
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -40,7 +40,7 @@
   { tail -n 40 "$build/build.log"; exit 1; }
 
 step "linter"
-git ls-files 'packages/*.cpp' |
+git ls-files 'packages/*.cpp' 'platform/jackdawhall/*.cpp' |
   xargs -P "$jobs" -n 4 clang-tidy -p "$build" --quiet > "$build/tidy.log" 2> /dev/null ||
   { grep -E 'error|warning' "$build/tidy.log" | head -40; status=1; }
 
