Let a part of a shared rate fill at its own pace only

A host whose share grew filled its part for the time before at the new share, and so gave what others had given already; a host that thawed still had its part of before. Change: parts are brought up to date at each heartbeat, one that was not for 3 s begins empty; less of the tolerance is used; daemons without a control host use a fifth of the burst together. Tests: shared_rates, two cases more; not shown red against the code before.

--- a/packages/calls/jackdawhall/calls/take_share.cpp
+++ b/packages/calls/jackdawhall/calls/take_share.cpp
@@ -21,7 +21,7 @@
 // Daemons assumed of a fleet whose size is not known yet.
 constexpr std::int64_t unknown_daemons = 50;
 // Part of the burst that daemons without a control host may use together.
-constexpr double own_burst = 0.5;
+constexpr double own_burst = 0.2;
 
 double seconds(duration d)
 {
--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -130,8 +130,9 @@
     return response;
 }
 
-// Part of the tolerance that is used: the rest is for parts that change.
-constexpr double used_tolerance = 0.7;
+// Parts of the tolerance that are used: the rest is for parts that change.
+constexpr double used_share = 0.2;
+constexpr double used_requests = 0.5;
 
 } // namespace
 
@@ -149,23 +150,37 @@
         static_cast<std::int64_t>(rate * part.share_),
         std::max<std::int64_t>(
             1, static_cast<std::int64_t>(
-                   (burst + used_tolerance * more) * part.share_ +
-                   used_tolerance * even))};
+                   (burst + used_share * more) * part.share_ +
+                   used_requests * even))};
 }
 
-allocation_step allocate_part(
-    allocation state, account_limits const& part, grant_request const& r,
+allocation tend_part(
+    allocation state, account_name const& account, account_limits const& part,
     instant now)
 {
-    allocation_step step{std::move(state), std::nullopt};
-    if (r.number_ == 0)
-        return step;
-    auto const [known, fresh] = step.state_.parts_.try_emplace(r.account_);
+    auto const [known, fresh] = state.parts_.try_emplace(account);
     bucket& b = known->second;
     // A host that has just started does not know what was given before.
     if (fresh)
-        b.accrued_ = step.state_.began_;
+        b.accrued_ = state.began_;
+    else if (now - b.accrued_ > untended_part)
+    {
+        b.level_ = 0;
+        b.accrued_ = now;
+    }
     accrue(b, part, now);
+    return state;
+}
+
+allocation_step allocate_part(
+    allocation state, account_limits const& part, grant_request const& r,
+    instant now)
+{
+    allocation_step step{
+        tend_part(std::move(state), r.account_, part, now), std::nullopt};
+    if (r.number_ == 0)
+        return step;
+    bucket& b = step.state_.parts_.at(r.account_);
     std::int64_t const tokens =
         std::min(std::max<std::int64_t>(0, r.waiting_), b.level_ / token_unit);
     grant_response response = refuse(r, grant_result::exhausted);
--- a/packages/control/jackdawhall/control/allocate_grants.hpp
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -112,6 +112,17 @@
     std::optional<grant_response> response_;
 };
 
+// A host that did not tend its parts for so long was suspended, and no longer
+// knows what they may be: they begin empty.
+inline constexpr duration untended_part = std::chrono::seconds(3);
+
+// Brings this host's part of a shared rate up to date. A part whose share grows
+// fills at its rate only, so that tokens which another host has given are not
+// there again; one whose share falls loses what no longer fits.
+allocation tend_part(
+    allocation state, account_name const& account, account_limits const& part,
+    instant now);
+
 // Gives tokens out of this host's own part of a shared rate. What is given
 // counts as spent.
 allocation_step allocate_part(
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -82,8 +82,32 @@
     return p;
 }
 
+namespace
+{
+
+void tend_parts(state& s, instant now)
+{
+    auto held = s.machine_.records_.lower_bound({"account", "", 0});
+    for (; held != s.machine_.records_.end() && held->first.kind_ == "account";
+         ++held)
+    {
+        leaf::result<account_name> const name =
+            account_name::make(held->first.name_);
+        if (!name)
+            continue;
+        if (std::optional<account_limits> const part =
+                shared_limits(s, name.value(), now))
+            s.allocation_ =
+                tend_part(std::move(s.allocation_), name.value(), *part, now);
+    }
+}
+
+} // namespace
+
 passage grant_tokens(passage p)
 {
+    if (std::holds_alternative<time_passed>(p.input_))
+        tend_parts(p.state_, p.at_.now_);
     grant_request const* r = received_as<grant_request>(p);
     if (!r)
         return p;
--- a/test/correctness/shared_rates.cpp
+++ b/test/correctness/shared_rates.cpp
@@ -63,6 +63,35 @@
     CHECK(given >= rate * 6);
 }
 
+// The demand is at the first host, then all of it at the second.
+TEST_CASE("tokens given by one host are not there again at another")
+{
+    account_limits const whole{100'000, 100};
+    account_limits const large = part_of(whole, tolerance, {0.84, 5});
+    account_limits const small = part_of(whole, tolerance, {0.04, 5});
+    instant at = instant{} + 60s;
+    account_name const account = ask_for(1, 1).account_;
+    allocation const first = tend_part({}, account, large, at);
+    allocation const second = tend_part({}, account, small, at);
+    allocation_step const a = allocate_part(first, large, ask_for(500, 1), at);
+    at += 500ms;
+    allocation_step const b = allocate_part(second, large, ask_for(500, 2), at);
+    std::int64_t const given = a.response_->tokens_ + b.response_->tokens_;
+    double const allowed =
+        (100 * 0.5 + 100) * (1 + tolerance.share_) + tolerance.requests_;
+    CHECK(static_cast<double>(given) <= allowed);
+}
+
+TEST_CASE("a host that was suspended gives nothing from before")
+{
+    account_limits const part = part_of({100'000, 100}, tolerance, {0.2, 5});
+    instant const at = instant{} + 60s;
+    allocation const state = tend_part({}, ask_for(1, 1).account_, part, at);
+    allocation_step const step =
+        allocate_part(state, part, ask_for(500, 1), at + 8s);
+    CHECK(step.response_->result_ == grant_result::exhausted);
+}
+
 TEST_CASE("a host without demand can still serve a first request")
 {
     account_limits const limits = part_of({2000, 2}, tolerance, {0.04, 5});
