--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -269,27 +269,8 @@
         handlers_.undelivered_(host, std::move(bytes));
     if (was_ready)
         handlers_.lost_(host, std::max(newest, l.newest_written_));
-    collect_later();
-}
-
-// A closed link may still be in use by the functions that closed it, so it is
-// destroyed by the loop's next round.
-void peer_links::collect_later()
-{
-    if (collecting_)
-        return;
-    collecting_.reset(g_idle_source_new());
-    g_source_set_callback(
-        collecting_.get(),
-        [](gpointer data) -> gboolean
-        {
-            peer_links& self = *static_cast<peer_links*>(data);
-            self.collecting_.reset();
-            self.collect_closed();
-            return G_SOURCE_REMOVE;
-        },
-        this, nullptr);
-    g_source_attach(collecting_.get(), nullptr);
+    // The link may still be in use by the functions that closed it.
+    collect_.ask();
 }
 
 void peer_links::collect_closed()
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/loop/later.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -65,7 +66,6 @@
     void adopt(link& l, GSocketConnection* connection);
     void close(link& l, std::string const& why);
     void collect_closed();
-    void collect_later();
     void read_ready(link& l);
     void take_frames(link& l);
     void take_frame(link& l, char kind, std::string payload);
@@ -89,7 +89,7 @@
     std::map<host_name, endpoint> addresses_;
     std::map<host_name, instant> failed_; // connects that failed lately
     std::list<link> links_;
-    source_ptr collecting_;
+    later collect_{[this] { collect_closed(); }};
     std::vector<char> read_buffer_; // used within one read only
 };
 
--- a/packages/settings/jackdawhall/settings/check.cpp
+++ b/packages/settings/jackdawhall/settings/check.cpp
@@ -104,14 +104,18 @@
     return parsed.value_or(endpoint{});
 }
 
-void read_number(
-    check& c, YAML::Node const& map, std::string const& key,
-    std::uint32_t least, std::uint32_t most, std::uint32_t& into)
+namespace
+{
+
+template <class Number>
+void read_value(
+    check& c, YAML::Node const& map, std::string const& key, Number least,
+    Number most, std::string const& mend, Number& into)
 {
     std::optional<std::string> const text = scalar(c, map, key, false);
     if (!text)
         return;
-    std::uint32_t value = 0;
+    Number value = 0;
     auto const end = text->data() + text->size();
     auto const [stop, error] = std::from_chars(text->data(), end, value);
     if (error == std::errc{} && stop == end && value >= least && value <= most)
@@ -121,29 +125,24 @@
     }
     complain(
         c, map[key], key, "'" + *text + "' is out of range or has a unit",
-        "write a whole number from " + std::to_string(least) + " to " +
+        mend + " from " + std::to_string(least) + " to " +
             std::to_string(most));
 }
 
+} // namespace
+
+void read_number(
+    check& c, YAML::Node const& map, std::string const& key,
+    std::uint32_t least, std::uint32_t most, std::uint32_t& into)
+{
+    read_value(c, map, key, least, most, "write a whole number", into);
+}
+
 void read_fraction(
     check& c, YAML::Node const& map, std::string const& key, double least,
     double most, double& into)
 {
-    std::optional<std::string> const text = scalar(c, map, key, false);
-    if (!text)
-        return;
-    double value = 0;
-    auto const end = text->data() + text->size();
-    auto const [stop, error] = std::from_chars(text->data(), end, value);
-    if (error == std::errc{} && stop == end && value >= least && value <= most)
-    {
-        into = value;
-        return;
-    }
-    complain(
-        c, map[key], key, "'" + *text + "' is out of range or has a unit",
-        "write a number from " + std::to_string(least) + " to " +
-            std::to_string(most));
+    read_value(c, map, key, least, most, "write a number", into);
 }
 
 void read_flag(
