Count the demand of one's own daemons as the others know it

Each control host counted its own daemons' demand at once and the others' a second late, so that while the demand grew all shares together came to more than the whole. Now each counts its own as it last reported it. Test: shared_rates, one case more; not run against the code before. The stand-in server of backend_answers left reads and writes behind that referred to it (address sanitizer: use after scope); it waits for them now.

--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -122,16 +122,20 @@
 
 void add_demand(membership const& m, membership_report& report)
 {
-    std::map<account_name, std::int64_t> demand;
+    report.location_ = m.location_;
+    report.daemons_ = static_cast<std::int64_t>(m.attached_.size());
+    for (auto const& [account, rate] : m.reported_demand_)
+        report.demand_.push_back({account, rate});
+}
+
+void sum_demand(membership& m)
+{
+    m.reported_demand_.clear();
     for (auto const& daemon : m.attached_)
     {
         for (auto const& [account, rate] : daemon.second.demand_)
-            demand[account] += rate;
+            m.reported_demand_[account] += rate;
     }
-    report.location_ = m.location_;
-    report.daemons_ = static_cast<std::int64_t>(m.attached_.size());
-    for (auto const& [account, rate] : demand)
-        report.demand_.push_back({account, rate});
 }
 
 membership_report whole_report(membership const& m)
@@ -145,6 +149,7 @@
 
 membership_report next_report(membership& m)
 {
+    sum_demand(m);
     membership_report report{
         m.self_, m.incarnation_, m.reported_, m.reported_, {}, {}};
     add_demand(m, report);
@@ -250,12 +255,9 @@
 host_part
 part_of_host(membership const& state, account_name const& account, instant now)
 {
-    std::int64_t own = 0;
-    for (auto const& daemon : state.attached_)
-    {
-        auto const known = daemon.second.demand_.find(account);
-        own += known == daemon.second.demand_.end() ? 0 : known->second;
-    }
+    auto const reported = state.reported_demand_.find(account);
+    std::int64_t const own =
+        reported == state.reported_demand_.end() ? 0 : reported->second;
     std::int64_t total = own;
     int hosts = 1;
     for (auto const& other : state.origins_)
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -72,6 +72,9 @@
     // Changes of the attached daemons' servers since the last report.
     std::uint64_t reported_ = 1;
     std::set<server_key> changed_;
+    // Demand as last reported: every host must count with the same figures,
+    // or their parts add up to more than the whole while the demand grows.
+    std::map<account_name, std::int64_t> reported_demand_;
     instant report_due_;
     auto operator<=>(membership const&) const = default;
 };
--- a/test/correctness/backend_answers.cpp
+++ b/test/correctness/backend_answers.cpp
@@ -37,6 +37,9 @@
     {
         g_socket_service_stop(service_.get());
         g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
+        // What is in progress still refers to this.
+        while (pending_ > 0)
+            g_main_context_iteration(nullptr, TRUE);
     }
     canned_server(canned_server const&) = delete;
     canned_server& operator=(canned_server const&) = delete;
@@ -53,6 +56,7 @@
 
     void read_next()
     {
+        ++pending_;
         g_input_stream_read_async(
             g_io_stream_get_input_stream(G_IO_STREAM(connection_.get())),
             buffer_, sizeof buffer_, G_PRIORITY_DEFAULT, nullptr,
@@ -60,6 +64,7 @@
             {
                 gssize const n = g_input_stream_read_finish(
                     G_INPUT_STREAM(source), result, nullptr);
+                --static_cast<canned_server*>(data)->pending_;
                 static_cast<canned_server*>(data)->answer_one(n);
             },
             this);
@@ -72,6 +77,7 @@
         std::string const& answer =
             answers_.at(std::min(requests_, answers_.size() - 1));
         ++requests_;
+        ++pending_;
         g_output_stream_write_all_async(
             g_io_stream_get_output_stream(G_IO_STREAM(connection_.get())),
             answer.data(), answer.size(), G_PRIORITY_DEFAULT, nullptr,
@@ -79,6 +85,7 @@
             {
                 g_output_stream_write_all_finish(
                     G_OUTPUT_STREAM(source), result, nullptr, nullptr);
+                --static_cast<canned_server*>(data)->pending_;
                 static_cast<canned_server*>(data)->answered();
             },
             this);
@@ -97,6 +104,7 @@
     object_ptr<GSocketConnection> connection_;
     std::uint16_t port_ = 0;
     std::size_t requests_ = 0;
+    int pending_ = 0; // reads and writes in progress
     char buffer_[65536];
 };
 
--- a/test/correctness/shared_rates.cpp
+++ b/test/correctness/shared_rates.cpp
@@ -63,6 +63,28 @@
     CHECK(given >= rate * 6);
 }
 
+TEST_CASE("a host counts its own demand as the others know it")
+{
+    account_name const account = ask_for(1, 1).account_;
+    membership m;
+    renewal r;
+    r.host_ = host_name::make("daemon").value();
+    r.demand_ = {{account, 1000}};
+    instant at = instant{} + 60s;
+    m = pass_time(take_announcement(std::move(m), r, at), at).state_;
+    membership_report other;
+    other.origin_ = host_name::make("other").value();
+    other.demand_ = {{account, 1000}};
+    m = take_report(std::move(m), other, at).state_;
+    double const before = part_of_host(m, account, at).share_;
+    r.demand_ = {{account, 9000}};
+    m = take_announcement(std::move(m), r, at);
+    CHECK(part_of_host(m, account, at).share_ == before);
+    at += report_interval;
+    m = pass_time(std::move(m), at).state_;
+    CHECK(part_of_host(m, account, at).share_ > before);
+}
+
 // The demand is at the first host, then all of it at the second.
 TEST_CASE("tokens given by one host are not there again at another")
 {
