Log lines that never wait, with a line for each belief; stages timed

Cause: the log wrote to standard output with a write that waits for its reader, so a reader that stops reading would have stopped the loop; set-asides, retries, refusals at a gate, leases that end, servers learnt and leaders had no line of their own; only the whole request was timed.

Change: loop/line_output keeps lines up to 256 KiB for a reader that does not read, then leaves them out and counts them. Each sentence has a budget (10 a second, 40 at once; served requests: a sample of one a second). Notes of the nodes are a fixed sentence with fields. Histograms for link, gate queue and server; ages of beliefs, lines left out and memory among the metrics, with HELP.

Ruled out: a non-blocking descriptor, since whoever started the process may share it; a thread of its own, since there is one loop on one thread.

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -169,8 +170,26 @@
     auto operator<=>(stopped const&) const = default;
 };
 
+// Stages of a request's way that are timed.
+enum class stage
+{
+    link,       // at the entry: the forward, less the time at the gate
+    gate_queue, // at the gate, until the run starts
+    server,     // at the gate, until the backend server's answer
+    last_ = server
+};
+std::string_view to_text(stage s);
+
+// Effect: count how long a request was in a stage.
+struct took
+{
+    stage stage_ = stage::link;
+    duration time_{0};
+    auto operator<=>(took const&) const = default;
+};
+
 using effect = std::variant<
-    send, note, answer_caller, run_on_backend, cancel_run, probe_server,
+    send, note, took, answer_caller, run_on_backend, cancel_run, probe_server,
     stopped>;
 using effects = std::vector<effect>;
 
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -32,6 +32,7 @@
     a.verdict_ = std::move(v);
     a.retries_unused_ = run.retries_left_;
     a.shed_ = shed;
+    a.held_ = w.at_.now_ - run.since_;
     a.makes_calls_ =
         w.state_->own_calls_ * least_runs_a_call >= w.state_->counters_.runs_;
     auto const known = w.state_->locals_.find(run.server_id_);
@@ -61,8 +62,36 @@
     s.runs_.erase(run.number_);
 }
 
+void note_refusal(work& w, gate_run const& run, refusal_reason reason)
+{
+    note line{
+        "run refused",
+        {{"request", run.context_.root_},
+         {"server", run.server_id_},
+         {"reason", std::string(to_text(reason))},
+         {"entry", run.entry_.str()},
+         {"rank", std::to_string(run.context_.rank_)},
+         {"waited_ms", milliseconds_text(w.at_.now_ - run.since_)},
+         {"left_ms", milliseconds_text(run.deadline_ - w.at_.now_)}}};
+    auto const known = w.state_->locals_.find(run.server_id_);
+    if (known != w.state_->locals_.end())
+    {
+        local_server const& server = known->second;
+        line.fields_.emplace_back(
+            "running", std::to_string(server.running_.size()));
+        line.fields_.emplace_back(
+            "queued", std::to_string(server.queued_.size()));
+        line.fields_.emplace_back(
+            "limit", std::to_string(allowed(server.limiter_)));
+        line.fields_.emplace_back(
+            "admitted_rank", std::to_string(server.admitted_));
+    }
+    w.effects_.push_back(std::move(line));
+}
+
 void refuse_run(work& w, call_number number, refusal_reason reason)
 {
+    note_refusal(w, w.state_->runs_.at(number), reason);
     gate_run const run = std::move(w.state_->runs_.at(number));
     forget_run(*w.state_, run);
     reply(w, run, not_run{reason, std::chrono::milliseconds(100)}, false);
@@ -191,6 +220,7 @@
     server.served_[run.context_.account_] += 1;
     run.running_ = true;
     run.started_ = w.at_.now_;
+    w.effects_.push_back(took{stage::gate_queue, w.at_.now_ - run.since_});
     run.ticket_ = w.state_->random_.hex(16);
     w.state_->tickets_.emplace(run.ticket_, number);
     ++w.state_->counters_.runs_;
@@ -297,6 +327,7 @@
     gate_run run = make_run(*w.state_, entry, f, w.at_.now_);
     if (std::optional<refusal_reason> const why = find_refusal(w, f))
     {
+        note_refusal(w, run, *why);
         reply(w, run, not_run{*why, std::chrono::milliseconds(100)}, false);
         return w;
     }
@@ -341,6 +372,7 @@
     auto const server = s.locals_.find(run.server_id_);
     bool const here = server != s.locals_.end();
     forget_run(s, run);
+    w.effects_.push_back(took{stage::server, w.at_.now_ - run.started_});
     std::visit(
         overloaded{
             [&](answered const& a)
@@ -426,6 +458,16 @@
     auto const known = w.state_->locals_.find(server_id);
     if (known == w.state_->locals_.end())
         return w;
+    announcement const& last = known->second.announcement_;
+    w.effects_.push_back(note{
+        "backend server dropped",
+        {{"server", server_id},
+         {"service", last.service_.str()},
+         {"reason", std::string(to_text(why))},
+         {"silent_ms", milliseconds_text(w.at_.now_ - known->second.heard_)},
+         {"sequence", std::to_string(last.sequence_)},
+         {"running", std::to_string(known->second.running_.size())},
+         {"queued", std::to_string(known->second.queued_.size())}}});
     std::vector<call_number> const queued = known->second.queued_;
     for (call_number const number : queued)
         refuse_run(w, number, why);
@@ -458,7 +500,6 @@
     }
     if (suspects.empty())
         suspects = std::move(lately);
-    w.effects_.push_back(note{"backend server " + p.server_id_ + " is gone"});
     if (!suspects.empty())
         tell(
             w, leader_host(*w.state_),
--- a/packages/calls/jackdawhall/calls/helpers.cpp
+++ b/packages/calls/jackdawhall/calls/helpers.cpp
@@ -57,6 +57,26 @@
     s.call_due_.erase({due_of(c), c.number_});
 }
 
+std::string_view to_text(stage s)
+{
+    switch (s)
+    {
+    case stage::link:
+        return "link";
+    case stage::gate_queue:
+        return "gate_queue";
+    case stage::server:
+        return "server";
+    }
+    return "unknown";
+}
+
+std::string milliseconds_text(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 void tell(work& w, host_name const& to, message m)
 {
     w.effects_.push_back(send{{to, std::move(m)}});
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -18,19 +18,34 @@
 // Retry credits of an account at one daemon.
 constexpr double most_credits = 10;
 
-void succeed(evidence& e, duration latency)
+void succeed(work& w, server_key const& key, evidence& e, duration latency)
 {
+    if (e.set_asides_ > 0)
+        w.effects_.push_back(note{
+            "backend server no longer set aside",
+            {{"server", key.second},
+             {"host", key.first.str()},
+             {"latency_ms", milliseconds_text(latency)}}});
     e.failures_ = 0;
     e.set_asides_ = 0;
     e.latency_ =
         e.latency_ == duration{0} ? latency : (e.latency_ * 7 + latency) / 8;
 }
 
-void fail(evidence& e, instant now)
+void fail(work& w, server_key const& key, evidence& e, std::string_view why)
 {
     if (++e.failures_ < failures_to_set_aside)
         return;
-    e.set_aside_until_ = now + first_set_aside * (1 << e.set_asides_);
+    duration const length = first_set_aside * (1 << e.set_asides_);
+    w.effects_.push_back(note{
+        "backend server set aside",
+        {{"server", key.second},
+         {"host", key.first.str()},
+         {"failures", std::to_string(e.failures_)},
+         {"last", std::string(why)},
+         {"for_ms", milliseconds_text(length)},
+         {"times", std::to_string(e.set_asides_ + 1)}}});
+    e.set_aside_until_ = w.at_.now_ + length;
     e.set_asides_ = std::min(e.set_asides_ + 1, most_set_asides);
     e.failures_ = 0;
 }
@@ -173,11 +188,17 @@
     return c;
 }
 
-state learn(state s, forwarded const& f, forward_answer const& a, instant now)
+work learn(work w, forwarded const& f, forward_answer const& a)
 {
+    state& s = *w.state_;
+    instant const now = w.at_.now_;
+    server_key const key = key_of(f.server_);
     if (std::holds_alternative<ran>(a.verdict_))
         s.retry_budgets_[f.server_.service_].makes_calls_ = a.makes_calls_;
-    evidence& e = s.evidence_[key_of(f.server_)];
+    if (a.held_ > duration{0})
+        w.effects_.push_back(
+            took{stage::link, std::max(duration{0}, now - f.since_ - a.held_)});
+    evidence& e = s.evidence_[key];
     e.in_flight_ -= e.in_flight_ > 0 ? 1 : 0;
     if (a.limit_ != 0)
     {
@@ -193,17 +214,17 @@
             {
                 if (r.reason_ == refusal_reason::connect_failed ||
                     r.reason_ == refusal_reason::refused_by_server)
-                    fail(e, now);
+                    fail(w, key, e, to_text(r.reason_));
             },
             [&](may_have_run const& r)
             {
                 if (blames_server(r.reason_))
-                    fail(e, now);
+                    fail(w, key, e, to_text(r.reason_));
             },
-            [&](ran const&) { succeed(e, now - f.since_); },
+            [&](ran const&) { succeed(w, key, e, now - f.since_); },
         },
         a.verdict_);
-    return s;
+    return w;
 }
 
 std::optional<retry_reason> decide_retry(
--- a/packages/calls/jackdawhall/calls/passage.hpp
+++ b/packages/calls/jackdawhall/calls/passage.hpp
@@ -58,7 +58,7 @@
 // --- Entry, upwards.
 
 // Learns from a gate's answer about its server.
-state learn(state s, forwarded const& f, forward_answer const& a, instant now);
+work learn(work w, forwarded const& f, forward_answer const& a);
 // Earns a part of a retry for a first try.
 void earn_credit(state& s, entry_call const& c, instant now);
 // Says whether a try that ended in `v` may have arrived at a backend server.
@@ -102,6 +102,8 @@
 work renew(work w);
 // Takes a change of configuration.
 work take_update(work w, configuration_update const& u);
+// Notes when the freshness lease has ended, or is there again.
+work watch_lease(work w);
 work take_renewal_answer(work w, host_name const& from, renewal_answer a);
 // A server that ends gets no new work; what it runs may finish.
 work end_server(work w, server_gone const& gone);
@@ -153,4 +155,7 @@
 
 void tell(work& w, host_name const& to, message m);
 
+// Whole milliseconds, for a log line.
+std::string milliseconds_text(duration d);
+
 } // namespace jackdawhall::calls
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -51,6 +51,30 @@
     return advance(std::move(w), std::move(c));
 }
 
+void note_retry(work& w, entry_call const& c, retry_reason why)
+{
+    w.effects_.push_back(note{
+        "request tried again",
+        {{"request", c.context_.root_},
+         {"reason", std::string(to_text(why))},
+         {"service", c.service_.str()},
+         {"server", c.tried_.back().second},
+         {"tries", std::to_string(c.attempts_)},
+         {"reached", std::to_string(c.arrivals_)},
+         {"left_ms", milliseconds_text(c.deadline_ - w.at_.now_)}}});
+}
+
+void note_caller_left(work& w, entry_call const& c)
+{
+    w.effects_.push_back(note{
+        "caller left",
+        {{"request", c.context_.root_},
+         {"service", c.service_.str()},
+         {"server", c.tried_.empty() ? std::string{} : c.tried_.back().second},
+         {"tries", std::to_string(c.attempts_)},
+         {"took_ms", milliseconds_text(w.at_.now_ - c.since_)}}});
+}
+
 // The way of an answer up through the entry.
 work return_answer(work w, forward_answer a)
 {
@@ -65,13 +89,14 @@
     forwarded const f = *c.forward_;
     c.forward_.reset();
     c.retries_left_ += std::min(a.retries_unused_, f.lent_retries_);
-    s = learn(std::move(s), f, a, w.at_.now_);
+    w = learn(std::move(w), f, a);
     c.arrivals_ += reached_server(a.verdict_) ? 1 : 0;
     std::optional<retry_reason> const again =
         decide_retry(s, c, a.verdict_, a.shed_, w.at_.now_);
     if (!again)
         return finish_call(std::move(w), std::move(c), std::move(a.verdict_));
     ++s.counters_.retries_[static_cast<std::size_t>(*again)];
+    note_retry(w, c, *again);
     c = pay_for_retry(s, std::move(c), a.verdict_);
     c.losses_ += std::holds_alternative<may_have_run>(a.verdict_) ? 1 : 0;
     c.next_filter_ = first_filter_of_retry;
@@ -117,7 +142,7 @@
             s.forwards_.erase(late.forward_->number_);
             forward_answer a;
             a.verdict_ = v;
-            s = learn(std::move(s), *late.forward_, a, w.at_.now_);
+            w = learn(std::move(w), *late.forward_, a);
             tell(
                 w, late.forward_->server_.host_,
                 cancel_forward{late.forward_->number_});
@@ -156,6 +181,7 @@
         tell(w, c.forward_->server_.host_, cancel_forward{c.forward_->number_});
         c.forward_.reset();
     }
+    note_caller_left(w, c);
     return finish_call(std::move(w), std::move(c), std::move(v));
 }
 
@@ -254,7 +280,10 @@
         return w;
     w.state_->stopping_ = w.at_.now_;
     w.state_->control_.renewal_due_ = w.at_.now_;
-    w.effects_.push_back(note{"stops: takes no new work"});
+    w.effects_.push_back(note{
+        "stop begins",
+        {{"in_progress",
+          std::to_string(w.state_->calls_.size() + w.state_->runs_.size())}}});
     return w;
 }
 
@@ -277,7 +306,10 @@
         return w;
     s.stopped_ = true;
     if (late && has_work(s))
-        w.effects_.push_back(note{"stops with work still in progress"});
+        w.effects_.push_back(note{
+            "stops with work still in progress",
+            {{"calls", std::to_string(s.calls_.size())},
+             {"runs", std::to_string(s.runs_.size())}}});
     w.effects_.push_back(stopped{});
     return w;
 }
@@ -287,6 +319,7 @@
     w = expire_calls(std::move(w));
     w = expire_runs(std::move(w));
     w = expire_announcements(std::move(w));
+    w = watch_lease(std::move(w));
     w = renew(std::move(w));
     w = tend_tokens(std::move(w));
     w = resend_claims(std::move(w));
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -68,8 +68,10 @@
     host_name const left = link.hosts_.at(link.current_);
     go_to_control_host(link, (link.current_ + 1) % link.hosts_.size(), now);
     w.effects_.push_back(note{
-        "control host " + left.str() + " is silent or cut off; goes on with " +
-        link.hosts_.at(link.current_).str()});
+        "control host is silent or cut off",
+        {{"host", left.str()},
+         {"goes_on_with", link.hosts_.at(link.current_).str()},
+         {"revision", std::to_string(w.state_->configuration_.revision_)}}});
 }
 
 // Own availability zone, then own region, then the others.
@@ -151,6 +153,38 @@
     s.servers_.insert_or_assign(update.service_, update.servers_);
 }
 
+void note_servers(work& w, service_servers const& update, std::uint64_t version)
+{
+    state const& s = *w.state_;
+    auto const known = s.servers_.find(update.service_);
+    std::size_t const before =
+        known == s.servers_.end() ? 0 : known->second.size();
+    auto const draining = std::count_if(
+        update.servers_.begin(), update.servers_.end(),
+        [](backend_server const& server)
+        { return server.state_ == server_state::draining; });
+    w.effects_.push_back(note{
+        "backend servers of a service known",
+        {{"service", update.service_.str()},
+         {"servers", std::to_string(update.servers_.size())},
+         {"before", std::to_string(before)},
+         {"draining", std::to_string(draining)},
+         {"version", std::to_string(version)}}});
+}
+
+void note_announcement(work& w, announcement const& a)
+{
+    w.effects_.push_back(note{
+        "backend server announces itself",
+        {{"server", a.id_},
+         {"service", a.service_.str()},
+         {"state", std::string(to_text(a.state_))},
+         {"address",
+          a.address_.address_ + ":" + std::to_string(a.address_.port_)},
+         {"slots", std::to_string(a.slots_)},
+         {"sequence", std::to_string(a.sequence_)}}});
+}
+
 // A server under a new id where another one was: the old one has ended.
 std::optional<std::string> replaced_by(state const& s, announcement const& a)
 {
@@ -225,8 +259,28 @@
     c = apply_update(std::move(c), u);
     if (c.revision_ != before)
         w.effects_.push_back(note{
-            "configuration revision " + std::to_string(c.revision_) +
-            " taken after " + std::to_string(before)});
+            "configuration taken",
+            {{"revision", std::to_string(c.revision_)},
+             {"before", std::to_string(before)},
+             {"records", std::to_string(c.records_.size())}}});
+    return w;
+}
+
+work watch_lease(work w)
+{
+    state& s = *w.state_;
+    bool const fresh = is_fresh(s.configuration_, w.at_.now_);
+    if (fresh == s.was_fresh_)
+        return w;
+    s.was_fresh_ = fresh;
+    w.effects_.push_back(note{
+        fresh ? "freshness lease held" : "freshness lease ended",
+        {{"revision", std::to_string(s.configuration_.revision_)},
+         {"control_host",
+          s.control_.hosts_.empty()
+              ? std::string{}
+              : s.control_.hosts_.at(s.control_.current_).str()},
+         {"silent_ms", milliseconds_text(w.at_.now_ - s.control_.answered_)}}});
     return w;
 }
 
@@ -235,24 +289,31 @@
     state& s = *w.state_;
     if (a.incarnation_ != s.incarnation_)
         return w;
-    bool const fresh_before = is_fresh(s.configuration_, w.at_.now_);
     w = take_update(std::move(w), a.update_);
     s.configuration_ = take_lease(
         std::move(s.configuration_), a, s.settings_.freshness_lease_);
-    if (!fresh_before && is_fresh(s.configuration_, w.at_.now_))
-        w.effects_.push_back(
-            note{"has a freshness lease again, from " + from.str()});
+    w = watch_lease(std::move(w));
     if (s.control_.hosts_.empty() ||
         from != s.control_.hosts_.at(s.control_.current_))
         return w;
     if (a.confirmed_ && a.age_ < stale_knowledge(s.settings_))
         s.control_.answered_ = w.at_.now_;
-    if (!a.leader_.empty())
+    if (!a.leader_.empty() && a.leader_ != s.control_.leader_)
+    {
+        w.effects_.push_back(note{
+            "leader of the control hosts known",
+            {{"host", a.leader_.str()},
+             {"before", s.control_.leader_.str()},
+             {"from", from.str()}}});
         s.control_.leader_ = a.leader_;
+    }
     if (a.stamp_ == s.control_.renewal_stamp_)
         s.control_.membership_version_ = a.membership_version_;
     for (service_servers const& update : a.services_)
+    {
+        note_servers(w, update, a.membership_version_);
         take_servers(s, update, w.at_.now_);
+    }
     s.daemons_ = a.daemons_;
     take_control_hosts(s, std::move(a.control_hosts_), w.at_.now_);
     return w;
@@ -290,7 +351,10 @@
     for (service_name const& called : a.calls_)
         want_service(*w.state_, called, w.at_.now_);
     if (changed)
+    {
+        note_announcement(w, a);
         w.state_->control_.renewal_due_ = w.at_.now_;
+    }
     if (a.state_ == server_state::draining)
         refuse_queued(w, a.id_);
     return w;
@@ -332,8 +396,6 @@
     }
     for (std::string const& id : silent)
     {
-        w.effects_.push_back(
-            note{"backend server " + id + " no longer announces itself"});
         w = drop_server(std::move(w), id, refusal_reason::no_server);
     }
     return w;
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -392,6 +392,7 @@
     call_number last_number_ = 0;
     configuration configuration_;
     control_link control_;
+    bool was_fresh_ = false; // when it was last looked at
     std::map<service_name, std::vector<backend_server>> servers_;
     std::set<service_name> wanted_;
     std::map<server_key, evidence> evidence_;
--- a/packages/control/jackdawhall/control/change_voters.cpp
+++ b/packages/control/jackdawhall/control/change_voters.cpp
@@ -96,7 +96,7 @@
     std::optional<voter> const dead = find_dead_voter(w);
     if (!s.settings_.open_ || !dead || !may_change_voters(s))
         return false;
-    say(w, "removes the silent voter " + dead->host_.str());
+    say(w, "removes a silent voter", {{"host", dead->host_.str()}});
     append_command(w, voters_command{without(s.log_.voters(), *dead), {}});
     return true;
 }
@@ -110,7 +110,7 @@
         w.now_ - known->second.heard_ > w.state_.settings_.election_max_;
     if (!silent || !may_change_voters(w.state_))
         return;
-    say(w, "removes the lost disk of " + lost.host_.str() + " from the voters");
+    say(w, "removes a lost disk from the voters", {{"host", lost.host_.str()}});
     append_command(
         w, voters_command{without(w.state_.log_.voters(), lost), {}});
 }
@@ -138,7 +138,7 @@
     std::vector<voter> voters = s.log_.voters();
     voters.push_back(joining);
     std::sort(voters.begin(), voters.end());
-    say(w, "adds " + joining.host_.str() + " to the voters");
+    say(w, "adds a voter", {{"host", joining.host_.str()}});
     append_command(w, voters_command{std::move(voters), {}});
 }
 
--- a/packages/control/jackdawhall/control/consensus.cpp
+++ b/packages/control/jackdawhall/control/consensus.cpp
@@ -15,9 +15,11 @@
     w.output_.effects_.push_back(send{{to, std::move(m)}});
 }
 
-void say(work& w, std::string text)
+void say(work& w, std::string sentence, log_fields fields)
 {
-    w.output_.effects_.push_back(note{std::move(text)});
+    fields.emplace_back("term", std::to_string(w.state_.hard_state_.term_));
+    fields.emplace_back("commit", std::to_string(w.state_.commit_));
+    w.output_.effects_.push_back(note{std::move(sentence), std::move(fields)});
 }
 
 bool is_voter(consensus_state const& state, voter const& who)
@@ -92,7 +94,7 @@
     instant const heard = detail::majority_heard(w.state_, w.now_);
     if (w.now_ - heard < w.state_.settings_.election_max_)
         return;
-    detail::say(w, "lost contact with a majority of voters; stepping down");
+    detail::say(w, "steps down; lost contact with a majority of voters");
     detail::become_follower(w, w.state_.hard_state_.term_, std::nullopt);
 }
 
--- a/packages/control/jackdawhall/control/consensus_detail.hpp
+++ b/packages/control/jackdawhall/control/consensus_detail.hpp
@@ -16,7 +16,7 @@
 };
 
 void send_to(work& w, host_name const& to, message m);
-void say(work& w, std::string text);
+void say(work& w, std::string sentence, log_fields fields = {});
 
 bool is_voter(consensus_state const& state, voter const& who);
 std::size_t majority(consensus_state const& state);
--- a/packages/control/jackdawhall/control/election.cpp
+++ b/packages/control/jackdawhall/control/election.cpp
@@ -115,7 +115,7 @@
     s.role_ = std::move(l);
     s.confirmed_.reset();
     w.output_.became_leader_ = true;
-    say(w, "leads term " + std::to_string(s.hard_state_.term_));
+    say(w, "leads");
     append_command(w, no_op{});
 }
 
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -62,8 +62,8 @@
         if (m)
             give(calls::input{calls::undelivered{{to, std::move(m.value())}}});
     };
-    peers.note_ = [](std::string text)
-    { log(severity::info, part::peers, text); };
+    peers.note_ = [this](std::string const& text)
+    { say(severity::info, part::peers, text); };
     links_ = std::make_unique<loop::peer_links>(
         settings_.host_, settings_.peers_, settings_.fleet_secret_, peers);
     for (settings::control_host const& host : settings_.control_hosts_)
@@ -93,7 +93,7 @@
     loop_.on_stop_signal(
         [this]
         {
-            log(severity::info, part::daemon, "stop signal received");
+            say(severity::info, part::daemon, "stop signal received");
             give(calls::input{calls::stop_requested{}});
             if (!settings_.call_)
                 loop_.quit();
@@ -129,7 +129,7 @@
     settings::checked_settings const read =
         settings::read_settings(settings_file_);
     for (settings::problem const& p : read.problems_)
-        log(severity::error, part::daemon, "settings not taken",
+        say(severity::error, part::daemon, "settings not taken",
             {{"problem", settings::to_text(settings_file_, p)}});
     if (!read.problems_.empty())
         return;
@@ -139,7 +139,7 @@
         hosts.push_back(host.host_);
         links_->set_address(host.host_, host.peers_);
     }
-    log(severity::info, part::daemon, "settings read again",
+    say(severity::info, part::daemon, "settings read again",
         {{"control_hosts", std::to_string(hosts.size())}});
     give(control::input{received{settings_.host_, control_hosts_known{hosts}}});
     give(calls::input{calls::control_hosts_named{std::move(hosts)}});
@@ -166,16 +166,23 @@
 
 int daemon::run()
 {
-    log(severity::info, part::daemon, "started",
+    say(severity::info, part::daemon, "started",
         {{"host", settings_.host_.str()},
          {"call", settings_.call_ ? "yes" : "no"},
          {"control", settings_.control_ ? "yes" : "no"}});
     timer_fired();
     loop_.run();
-    log(severity::info, part::daemon, "stopped");
+    say(severity::info, part::daemon, "stopped");
     return EXIT_SUCCESS;
 }
 
+void daemon::say(
+    severity level, part from, std::string const& sentence,
+    log_fields const& fields)
+{
+    log(loop::read_clocks().now_, level, from, sentence, fields);
+}
+
 // --- Inputs ---------------------------------------------------------------
 
 void daemon::give(calls::input in)
@@ -271,12 +278,12 @@
         },
         [&](user_error const& e)
         {
-            log(severity::warn, part::peers, "message dropped",
+            say(severity::warn, part::peers, "message dropped",
                 {{"from", from.str()}, {"what", e.what_}});
         },
         [&]
         {
-            log(severity::warn, part::peers, "message dropped",
+            say(severity::warn, part::peers, "message dropped",
                 {{"from", from.str()}});
         });
 }
@@ -334,12 +341,17 @@
     std::visit(
         overloaded{
             [&](send& s) { transmit(std::move(s.outgoing_)); },
-            [&](note& n) { log(severity::info, part::calls, n.text_); },
+            [&](note& n)
+            { say(severity::info, part::calls, n.sentence_, n.fields_); },
             [&](calls::answer_caller& a) { answer_http(a); },
             [&](calls::run_on_backend& r) { run_on_backend(r); },
             [&](calls::cancel_run& c) { backends_->cancel(c.run_); },
             [&](calls::probe_server& p)
             { backends_->probe(p.server_id_, p.address_); },
+            [&](calls::took& t) {
+                stage_latency_.at(static_cast<std::size_t>(t.stage_))
+                    .add(t.time_);
+            },
             [&](calls::stopped&)
             {
                 stopped_ = true;
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -3,6 +3,7 @@
 // store wait until the store is synced.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -44,6 +45,11 @@
         control::effect effect_;
     };
 
+    // Writes a line to the log.
+    void
+    say(severity level, part from, std::string const& sentence,
+        log_fields const& fields = {});
+
     leaf::result<void> start_control();
     leaf::result<void> start_own_front();
     leaf::result<void> start_infrastructure();
@@ -137,8 +143,9 @@
     // at the server for orders.
     std::map<std::uint64_t, std::uint64_t> order_documents_;
     std::uint64_t last_document_ = 0;
-    line_budget answer_lines_;
     latency request_latency_;
+    std::array<latency, static_cast<std::size_t>(calls::stage::last_) + 1>
+        stage_latency_;
     latency sync_latency_;
     bool stopped_ = false;
 };
--- a/packages/daemon/jackdawhall/daemon/daemon_control.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_control.cpp
@@ -52,7 +52,7 @@
         journal::sync_job const job = journal_->take_sync_job();
         BOOST_LEAF_CHECK(journal::run(job));
         journal_->finish(job);
-        log(severity::info, part::control,
+        say(severity::info, part::control,
             "data folder is empty; starts blank");
     }
     control_ = control::make_state(
@@ -118,7 +118,8 @@
                     },
                     [&](note& n) -> leaf::result<void>
                     {
-                        log(severity::info, part::control, n.text_);
+                        say(severity::info, part::control, n.sentence_,
+                            n.fields_);
                         return {};
                     },
                 },
@@ -132,7 +133,7 @@
 {
     if (!control_)
         return;
-    log(severity::error, part::control,
+    say(severity::error, part::control,
         "the disk failed; the control node begins again from it",
         {{"what", what}});
     ++disk_runs_;
@@ -170,7 +171,7 @@
         journal_.reset();
         return restart_.set(disk_retry, [this] { restart_control(); });
     }
-    log(severity::info, part::control, "the disk works again");
+    say(severity::info, part::control, "the disk works again");
     arm_timer();
 }
 
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -152,20 +152,22 @@
     give(calls::input{calls::caller_request{number, std::move(r)}});
 }
 
-// One line for each request that was not served; those served only at level
-// debug. Lines beyond the budget are counted and left out.
+// One line for each request that was not served, and a sample of the others,
+// as far as their budgets go.
 void daemon::log_answer(calls::answer_caller const& a)
 {
-    ran const* served = std::get_if<ran>(&a.verdict_);
-    bool const fine = served && served->answer_.status_ < 500;
+    static std::string const not_served = "request not served";
+    static std::string const served = "request served";
+    ran const* r = std::get_if<ran>(&a.verdict_);
+    bool const fine = r && r->answer_.status_ < 500;
     instant const now = loop::read_clocks().now_;
-    if (!fine && !answer_lines_.take(now))
+    if (!may_log(
+            now, fine ? served : not_served, fine ? sample_rate : usual_rate))
         return;
-    std::uint64_t const left_out = fine ? 0 : answer_lines_.take_left_out();
     calls::configuration const& c = calls_.configuration_;
     duration const lease = c.fresh_until_ ? *c.fresh_until_ - now : duration{0};
-    log(fine ? severity::debug : severity::info, part::calls,
-        "request answered",
+    write_line(
+        severity::info, part::calls, fine ? served : not_served,
         {{"request", a.root_},
          {"account", a.account_.str()},
          {"verdict", verdict_text(a.verdict_)},
@@ -175,7 +177,8 @@
          {"took_ms", std::to_string(a.took_.count() / 1000)},
          {"revision", std::to_string(c.revision_)},
          {"lease_left_ms", std::to_string(lease.count() / 1000)},
-         {"left_out", std::to_string(left_out)}});
+         {"control_silent_ms",
+          std::to_string((now - calls_.control_.answered_).count() / 1000)}});
 }
 
 void daemon::answer_http(calls::answer_caller const& a)
@@ -258,7 +261,7 @@
         {
             json const given = json::parse(r.body_, nullptr, false);
             BOOST_LEAF_AUTO(c, wire::change_from_json(given));
-            log(severity::info, part::operators, "change received",
+            say(severity::info, part::operators, "change received",
                 {{"operation", c.operation_id_}, {"author", c.author_}});
             operator_changes_.insert(number);
             give(
@@ -387,9 +390,24 @@
     if (control_)
     {
         text += expose_control(*control_, now);
-        text += sync_latency_.expose("journal_sync_seconds");
+        text += expose_latencies(
+            "journal_sync_seconds", "Time of a sync of the journal.",
+            {{"", sync_latency_}});
     }
-    return text + request_latency_.expose("request_seconds");
+    text += expose_process(count_log_lines(), inputs_.size());
+    text += expose_latencies(
+        "request_seconds",
+        "Time of a request, from its last byte to its answer.",
+        {{"", request_latency_}});
+    std::vector<labelled_latency> stages;
+    for (std::size_t i = 0; i < stage_latency_.size(); ++i)
+        stages.push_back(
+            {"stage=\"" + std::string(to_text(static_cast<calls::stage>(i))) +
+                 "\"",
+             stage_latency_.at(i)});
+    return text +
+           expose_latencies(
+               "stage_seconds", "Time that requests spent in a stage.", stages);
 }
 
 } // namespace jackdawhall::daemon
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -98,7 +98,7 @@
         },
         [&](user_error const& why)
         {
-            log(severity::warn, part::operators, "order refused",
+            say(severity::warn, part::operators, "order refused",
                 {{"path", r.path_}, {"why", why.what_}});
             orders_->answer(number, platform::refuse_order(why));
         },
@@ -119,7 +119,7 @@
             },
             [&](calls::server_gone& g)
             {
-                log(severity::info, part::calls, "backend server leaves",
+                say(severity::info, part::calls, "backend server leaves",
                     {{"server", g.server_id_}});
                 give(calls::input{std::move(g)});
                 orders_->answer(number, platform::to_announcer());
@@ -138,7 +138,7 @@
         return orders_->answer(
             number, platform::to_operator(
                         unknown_outcome{"no control node runs here now"}));
-    log(severity::info, part::operators, "document received",
+    say(severity::info, part::operators, "document received",
         {{"version", std::to_string(d.version_)},
          {"base", std::to_string(d.base_)},
          {"digest", d.digest_}});
--- a/packages/daemon/jackdawhall/daemon/log.cpp
+++ b/packages/daemon/jackdawhall/daemon/log.cpp
@@ -1,10 +1,14 @@
 #include <jackdawhall/daemon/log.hpp>
 
 #include <algorithm>
+#include <map>
+#include <memory>
 
+#include <jackdawhall/loop.hpp>
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace jackdawhall::daemon
 {
@@ -12,10 +16,31 @@
 namespace
 {
 
+// Hands finished lines to an output that does not wait.
+class output_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+    explicit output_sink(loop::line_output& output) : output_(output) {}
+
+private:
+    void sink_it_(spdlog::details::log_msg const& m) override
+    {
+        spdlog::memory_buf_t line;
+        formatter_->format(m, line);
+        output_.write({line.data(), line.size()});
+    }
+    void flush_() override {}
+
+    loop::line_output& output_;
+};
+
 struct log_state
 {
     std::string host_;
     bool json_ = false;
+    std::map<std::string, line_budget> budgets_; // by sentence
+    log_counts counts_;
+    loop::line_output output_{STDOUT_FILENO, max_waiting_bytes};
 };
 
 log_state& current()
@@ -83,47 +108,74 @@
 
 } // namespace
 
-bool line_budget::take(instant now)
+budget_step take_line(line_budget b, line_rate rate, instant now)
 {
-    double const since = std::chrono::duration<double>(now - as_of_).count();
-    lines_ = std::min(budget_burst_lines, lines_ + since * budget_lines_per_s);
-    as_of_ = now;
-    if (lines_ < 1)
+    duration const a_line = duration(std::chrono::seconds(1)) / rate.per_s_;
+    instant const full = std::max(b.full_at_, now) + a_line;
+    if (full - now > a_line * rate.burst_)
     {
-        ++left_out_;
-        return false;
+        ++b.left_out_;
+        return {b, false};
     }
-    lines_ -= 1;
-    return true;
-}
-
-std::uint64_t line_budget::take_left_out()
-{
-    return std::exchange(left_out_, 0);
+    b.full_at_ = full;
+    return {b, true};
 }
 
 void set_up_log(settings::daemon_settings const& s)
 {
-    current() = {s.host_.str(), s.log_format_ == settings::log_format::json};
-    std::shared_ptr<spdlog::logger> logger = spdlog::stdout_logger_st("main");
+    current().host_ = s.host_.str();
+    current().json_ = s.log_format_ == settings::log_format::json;
+    auto logger = std::make_shared<spdlog::logger>(
+        "main", std::make_shared<output_sink>(current().output_));
     logger->set_level(spdlog::level::from_str(s.log_level_));
     logger->set_pattern(
         current().json_ ? "%v"
                         : "%Y-%m-%dT%H:%M:%S.%e %l " + s.host_.str() + " %v");
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
 }
 
-void log(
+bool may_log(instant now, std::string const& sentence, line_rate rate)
+{
+    line_budget& known = current().budgets_[sentence];
+    budget_step const step = take_line(known, rate, now);
+    known = step.budget_;
+    current().counts_.over_budget_ += step.taken_ ? 0 : 1;
+    return step.taken_;
+}
+
+void write_line(
     severity level, part from, std::string const& sentence,
     log_fields const& fields)
 {
     if (!spdlog::should_log(level_of(level)))
         return;
+    log_fields all = fields;
+    for (auto& field : all)
+        field.second.resize(std::min(field.second.size(), max_field_bytes));
+    std::uint64_t const left_out =
+        std::exchange(current().budgets_[sentence].left_out_, 0);
+    if (left_out > 0)
+        all.emplace_back("left_out", std::to_string(left_out));
     std::string const line = current().json_
-                                 ? as_json(level, from, sentence, fields)
-                                 : as_text(from, sentence, fields);
+                                 ? as_json(level, from, sentence, all)
+                                 : as_text(from, sentence, all);
+    ++current().counts_.written_;
     spdlog::log(level_of(level), "{}", line);
 }
 
+void log(
+    instant now, severity level, part from, std::string const& sentence,
+    log_fields const& fields)
+{
+    if (spdlog::should_log(level_of(level)) && may_log(now, sentence))
+        write_line(level, from, sentence, fields);
+}
+
+log_counts count_log_lines()
+{
+    log_counts counts = current().counts_;
+    counts.reader_stalled_ = current().output_.left_out();
+    return counts;
+}
+
 } // namespace jackdawhall::daemon
--- a/packages/loop/jackdawhall/loop.hpp
+++ b/packages/loop/jackdawhall/loop.hpp
@@ -8,4 +8,5 @@
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/http_fetch.hpp>
 #include <jackdawhall/loop/http_server.hpp>
+#include <jackdawhall/loop/line_output.hpp>
 #include <jackdawhall/loop/peer_links.hpp>
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -453,6 +453,7 @@
     bool shed_ = false; // the backend server itself answered 503, and none of
                         // its own calls had failed
     bool makes_calls_ = true; // the server makes calls while it runs requests
+    duration held_{0};        // since the gate took the forward
     auto operator<=>(forward_answer const&) const = default;
 };
 struct cancel_forward
--- a/packages/model/jackdawhall/model/node.hpp
+++ b/packages/model/jackdawhall/model/node.hpp
@@ -4,6 +4,8 @@
 
 #include <compare>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <jackdawhall/model/message.hpp>
 
@@ -31,10 +33,16 @@
     auto operator<=>(send const&) const = default;
 };
 
-// Effect: write a line to the log.
+// Names and values that stand behind the sentence of a log line. Never a key or
+// a ticket.
+using log_fields = std::vector<std::pair<std::string, std::string>>;
+
+// Effect: write a line to the log. Lines of one sentence share a budget, so the
+// sentence itself never varies.
 struct note
 {
-    std::string text_;
+    std::string sentence_;
+    log_fields fields_;
     auto operator<=>(note const&) const = default;
 };
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -225,7 +225,7 @@
     forward_answer, &forward_answer::number_, &forward_answer::verdict_,
     &forward_answer::retries_unused_, &forward_answer::admitted_,
     &forward_answer::in_use_, &forward_answer::limit_, &forward_answer::shed_,
-    &forward_answer::makes_calls_)
+    &forward_answer::makes_calls_, &forward_answer::held_)
 JACKDAWHALL_FIELDS(cancel_forward, &cancel_forward::number_)
 JACKDAWHALL_FIELDS(
     crash_report, &crash_report::host_, &crash_report::server_id_,
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -440,6 +440,7 @@
         overloaded{
             [&](send& s) { transmit(i, std::move(s.outgoing_)); },
             [&](note&) {},
+            [&](calls::took&) {},
             [&](calls::answer_caller& a)
             {
                 auto const inner = inner_.find(a.number_);
