Give an account's tokens first to what matters most of its calls

A tenant's own priority replaces that of its routes, so the rank that orders the gate does not tell them apart.

Change: a call keeps the rank of its route beside its own. Tokens are asked for by that rank, given in its order, and calls behind the first rank leave a sixteenth of the part's burst. A more important call asks at once, also while a less important one was told to wait. The gate orders calls of one rank by it.

--- a/packages/calls/jackdawhall/calls/check_access.cpp
+++ b/packages/calls/jackdawhall/calls/check_access.cpp
@@ -80,7 +80,10 @@
     instant const latest = c.since_ + found->timeout_;
     c.deadline_ = c.parent_ ? std::min(c.deadline_, latest) : latest;
     if (!c.parent_)
+    {
         c.context_.rank_ = rank_of(*found);
+        c.context_.route_rank_ = c.context_.rank_;
+    }
     // An open route needs neither a key nor a lease.
     if (!c.parent_ && c.open_)
         c.context_.account_ = account_name{};
--- a/packages/calls/jackdawhall/calls/finish_call.cpp
+++ b/packages/calls/jackdawhall/calls/finish_call.cpp
@@ -142,7 +142,7 @@
     settle_claim(w, c, v);
     auto const held = w.state_->holdings_.find(c.context_.account_);
     if (held != w.state_->holdings_.end())
-        std::erase(held->second.waiting_, c.number_);
+        stop_waiting(held->second, c.number_);
     give_back_retries(*w.state_, c, is_failure(v), w.at_.now_);
     keep_root_budget(*w.state_, c, w.at_.now_);
     count_verdict(w.state_->counters_, v);
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -156,14 +156,17 @@
     server.served_as_of_ = now;
 }
 
-// Whether `left` runs before `right`: by rank, then the account served less,
-// then by age: oldest first, or newest first under overload.
+// Whether `left` runs before `right`: by rank, then the rank of the route, then
+// the account served less, then by age: oldest first, or newest first under
+// overload.
 bool runs_before(
     local_server const& server, gate_run const& left, gate_run const& right,
     bool overloaded)
 {
     if (left.context_.rank_ != right.context_.rank_)
         return left.context_.rank_ < right.context_.rank_;
+    if (left.context_.route_rank_ != right.context_.route_rank_)
+        return left.context_.route_rank_ < right.context_.route_rank_;
     double const served_left = served(server, left.context_.account_);
     double const served_right = served(server, right.context_.account_);
     if (std::abs(served_left - served_right) >= 1)
--- a/packages/calls/jackdawhall/calls/passage.hpp
+++ b/packages/calls/jackdawhall/calls/passage.hpp
@@ -119,6 +119,8 @@
 work take_grant(work w, grant_response const& r);
 // Returns idle tokens and asks again for waiting calls.
 work tend_tokens(work w);
+// Takes a call off those that wait for a token.
+void stop_waiting(holding& h, call_number number);
 // Spends a token of the account; nothing if it holds none.
 bool spend_token(work& w, account_name const& account);
 work take_claim_response(work w, claim_response const& r);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -233,16 +233,25 @@
     auto operator<=>(held_grant const&) const = default;
 };
 
+// A call that waits for a token.
+struct token_wait_entry
+{
+    call_number number_ = 0;
+    rank route_rank_ = lowest_rank;
+    auto operator<=>(token_wait_entry const&) const = default;
+};
+
 // Tokens of one account at this daemon.
 struct holding
 {
     std::vector<held_grant> grants_;
-    std::deque<call_number> waiting_; // calls, oldest first
-    std::uint64_t asked_ = 0;         // number of the request in progress
+    std::vector<token_wait_entry> waiting_; // oldest first
+    std::uint64_t asked_ = 0;               // number of the request in progress
     instant asked_at_;
     std::int64_t asked_waiting_ = 0;
     instant last_call_;
-    instant ask_again_;      // not before
+    rank asked_rank_ = lowest_rank; // of the most important call asked for
+    instant ask_again_; // not before, for calls of that rank or less important
     bool allocated_ = false; // an allocator gave the last answer
     // Calls in the current and the last prefetch window, as demand.
     instant window_ends_;
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -5,6 +5,7 @@
 #include <jackdawhall/calls/passage.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace jackdawhall::calls
 {
@@ -77,6 +78,24 @@
     return leader_host(s);
 }
 
+std::vector<ranked_calls> by_rank(holding const& h)
+{
+    std::map<rank, std::int64_t> counts;
+    for (token_wait_entry const& call : h.waiting_)
+        ++counts[call.route_rank_];
+    std::vector<ranked_calls> ranked;
+    for (auto const& [r, count] : counts)
+        ranked.push_back({r, count});
+    return ranked;
+}
+
+bool waits_in(holding const& h, call_number number)
+{
+    return std::any_of(
+        h.waiting_.begin(), h.waiting_.end(),
+        [&](token_wait_entry const& call) { return call.number_ == number; });
+}
+
 void ask(work& w, account_name const& account, holding& h, bool report_only)
 {
     state& s = *w.state_;
@@ -91,6 +110,9 @@
             h.allocated_ = false; // the request before got no answer
         r.number_ = next_number(s);
         r.waiting_ = static_cast<std::int64_t>(h.waiting_.size());
+        r.ranked_ = by_rank(h);
+        h.asked_rank_ =
+            r.ranked_.empty() ? lowest_rank : r.ranked_.front().rank_;
         r.wanted_ = std::max<std::int64_t>(0, demand(h) - tokens_left(h));
         h.asked_ = r.number_;
         h.asked_at_ = w.at_.now_;
@@ -127,9 +149,7 @@
 {
     entry_call const& c = p.call_;
     instant const now = p.at_.now_;
-    bool const waits =
-        std::find(h.waiting_.begin(), h.waiting_.end(), c.number_) !=
-        h.waiting_.end();
+    bool const waits = waits_in(h, c.number_);
     instant const until = c.since_ + longest_wait(*p.state_, c, h);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
@@ -142,7 +162,7 @@
         return refuse(std::move(p), why, std::chrono::seconds(1));
     }
     if (!waits)
-        h.waiting_.push_back(c.number_);
+        h.waiting_.push_back({c.number_, c.context_.route_rank_});
     p.call_.wake_ = std::min(until, now + token_wait);
     p.flow_ = waiting{};
     return p;
@@ -150,11 +170,11 @@
 
 void refuse_waiting(work& w, account_name const& account, duration retry_after)
 {
-    std::deque<call_number> const late =
+    std::vector<token_wait_entry> const late =
         std::exchange(w.state_->holdings_.at(account).waiting_, {});
-    for (call_number const number : late)
+    for (token_wait_entry const& call : late)
     {
-        auto const held = w.state_->calls_.find(number);
+        auto const held = w.state_->calls_.find(call.number_);
         if (held == w.state_->calls_.end())
             continue;
         entry_call c = std::move(held->second);
@@ -166,16 +186,28 @@
     }
 }
 
+// The most important first: they spend what there is.
 void resume_waiting(work& w, account_name const& account)
 {
-    std::deque<call_number> const served =
+    std::vector<token_wait_entry> served =
         std::exchange(w.state_->holdings_.at(account).waiting_, {});
-    for (call_number const number : served)
-        w = resume(std::move(w), number);
+    std::stable_sort(
+        served.begin(), served.end(),
+        [](token_wait_entry const& left, token_wait_entry const& right)
+        { return left.route_rank_ < right.route_rank_; });
+    for (token_wait_entry const& call : served)
+        w = resume(std::move(w), call.number_);
 }
 
 } // namespace
 
+void stop_waiting(holding& h, call_number number)
+{
+    std::erase_if(
+        h.waiting_,
+        [&](token_wait_entry const& call) { return call.number_ == number; });
+}
+
 bool spend_token(work& w, account_name const& account)
 {
     holding& h = w.state_->holdings_[account];
@@ -215,13 +247,11 @@
     if (first_time)
         count_demand(h, w.at_.now_);
     bool const others_first =
-        !h.waiting_.empty() &&
-        std::find(h.waiting_.begin(), h.waiting_.end(), p.call_.number_) ==
-            h.waiting_.end();
+        !h.waiting_.empty() && !waits_in(h, p.call_.number_);
     bool const spent = !others_first && spend_token(w, account);
     if (spent)
     {
-        std::erase(w.state_->holdings_[account].waiting_, p.call_.number_);
+        stop_waiting(w.state_->holdings_[account], p.call_.number_);
     }
     else
     {
@@ -231,9 +261,10 @@
         w.state_ = std::move(p.state_);
         bool const waits = std::holds_alternative<waiting>(p.flow_);
         if (!waits)
-            std::erase(held.waiting_, p.call_.number_);
-        if (waits && !asked_lately(held, w.at_.now_) &&
-            w.at_.now_ >= held.ask_again_)
+            stop_waiting(held, p.call_.number_);
+        bool const may_ask = w.at_.now_ >= held.ask_again_ ||
+                             p.call_.context_.route_rank_ < held.asked_rank_;
+        if (waits && !asked_lately(held, w.at_.now_) && may_ask)
             ask(w, account, held, false);
     }
     p.state_ = std::move(w.state_);
@@ -269,6 +300,9 @@
         return w;
     }
     h.ask_again_ = w.at_.now_ + (exhausted ? r.retry_after_ : control_resend);
+    std::vector<ranked_calls> const waiting = by_rank(h);
+    if (exhausted && !waiting.empty() && waiting.front().rank_ < h.asked_rank_)
+        ask(w, r.account_, h, false);
     return w;
 }
 
--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -89,11 +89,12 @@
     return now + later;
 }
 
-duration time_to_next_token(bucket const& b, account_limits const& limits)
+duration time_to_next_token(
+    bucket const& b, account_limits const& limits, std::int64_t reserve)
 {
     if (b.outstanding_ >= limits.burst_ || limits.milli_rate_ == 0)
         return busy_retry;
-    std::int64_t const missing = token_unit - b.level_;
+    std::int64_t const missing = token_unit + reserve - b.level_;
     return duration{missing / limits.milli_rate_ + 1};
 }
 
@@ -115,7 +116,7 @@
     grant_response response = refuse(r, grant_result::exhausted);
     if (tokens == 0)
     {
-        response.retry_after_ = time_to_next_token(b, limits);
+        response.retry_after_ = time_to_next_token(b, limits, 0);
         return response;
     }
     response.result_ = grant_result::granted;
@@ -130,6 +131,37 @@
     return response;
 }
 
+// What calls of a rank leave in a part for those that matter more: so much of
+// its burst for each rank before theirs.
+constexpr std::int64_t reserve_divisor = 16;
+constexpr std::int64_t most_reserved_ranks = 1;
+
+std::int64_t reserve_for(account_limits const& part, rank r)
+{
+    std::int64_t const before =
+        std::max(0, static_cast<int>(r) - first_rank_of_callers);
+    return part.burst_ * token_unit / reserve_divisor *
+           std::min(before, most_reserved_ranks);
+}
+
+// Takes tokens for all that wait, the most important first.
+std::int64_t take_tokens(
+    bucket& b, account_limits const& part, std::vector<ranked_calls> waiting)
+{
+    std::sort(waiting.begin(), waiting.end());
+    std::int64_t taken = 0;
+    for (ranked_calls const& calls : waiting)
+    {
+        std::int64_t const free = std::max<std::int64_t>(
+            0, b.level_ - reserve_for(part, calls.rank_));
+        std::int64_t const given = std::min(
+            std::max<std::int64_t>(0, calls.count_), free / token_unit);
+        b.level_ -= given * token_unit;
+        taken += given;
+    }
+    return taken;
+}
+
 // Parts of the tolerance that are used: the rest is for parts that change.
 constexpr double used_share = 0.2;
 constexpr double used_requests = 0.5;
@@ -181,19 +213,21 @@
     if (r.number_ == 0)
         return step;
     bucket& b = step.state_.parts_.at(r.account_);
-    std::int64_t const tokens =
-        std::min(std::max<std::int64_t>(0, r.waiting_), b.level_ / token_unit);
+    std::int64_t const tokens = take_tokens(b, part, r.ranked_);
     grant_response response = refuse(r, grant_result::exhausted);
     if (tokens == 0)
     {
-        response.retry_after_ = time_to_next_token(b, part);
+        auto const first = std::min_element(r.ranked_.begin(), r.ranked_.end());
+        rank const most_important =
+            first == r.ranked_.end() ? lowest_rank : first->rank_;
+        response.retry_after_ =
+            time_to_next_token(b, part, reserve_for(part, most_important));
     }
     else
     {
         response.result_ = grant_result::granted;
         response.tokens_ = tokens;
         response.length_ = grant_length;
-        b.level_ -= tokens * token_unit;
     }
     step.response_ = response;
     return step;
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -297,14 +297,22 @@
     bool closed_ = false;        // the remaining tokens are given back
     auto operator<=>(grant_report const&) const = default;
 };
+// Calls on routes of one rank that wait for a token.
+struct ranked_calls
+{
+    rank rank_ = lowest_rank;
+    std::int64_t count_ = 0;
+    auto operator<=>(ranked_calls const&) const = default;
+};
 struct grant_request
 {
     host_name host_;
     std::uint64_t incarnation_ = 0;
     account_name account_;
-    std::uint64_t number_ = 0; // 0: a report that asks for nothing
-    std::int64_t waiting_ = 0; // calls that wait for a token
-    std::int64_t wanted_ = 0;  // tokens for calls expected soon
+    std::uint64_t number_ = 0;         // 0: a report that asks for nothing
+    std::int64_t waiting_ = 0;         // calls that wait for a token
+    std::int64_t wanted_ = 0;          // tokens for calls expected soon
+    std::vector<ranked_calls> ranked_; // those that wait, by rank
     std::vector<grant_report> reports_;
     auto operator<=>(grant_request const&) const = default;
 };
@@ -423,8 +431,9 @@
     std::string root_;     // request id of the first call of the chain
     account_name account_; // empty: an open route
     rank rank_ = lowest_rank;
-    duration timeout_{0};       // left to answer the caller
-    std::uint32_t retries_ = 0; // that may be spent below
+    rank route_rank_ = lowest_rank; // among calls of one rank
+    duration timeout_{0};           // left to answer the caller
+    std::uint32_t retries_ = 0;     // that may be spent below
     std::uint32_t depth_ = 0;
     bool repeatable_ = false;
     service_name caller_;   // beside which the call entered; empty: unknown
--- a/packages/model/jackdawhall/model/record.hpp
+++ b/packages/model/jackdawhall/model/record.hpp
@@ -24,6 +24,8 @@
 // Importance of a request: 0 matters most and is shed last.
 using rank = std::uint8_t;
 inline constexpr rank lowest_rank = 9;
+// Rank 0 is for work that has begun: what callers send comes after it.
+inline constexpr rank first_rank_of_callers = 1;
 
 // Rate and burst of a client account over the whole fleet, schema 1.
 struct account_v1
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -169,10 +169,11 @@
 JACKDAWHALL_FIELDS(
     grant_report, &grant_report::grant_, &grant_report::remaining_,
     &grant_report::closed_)
+JACKDAWHALL_FIELDS(ranked_calls, &ranked_calls::rank_, &ranked_calls::count_)
 JACKDAWHALL_FIELDS(
     grant_request, &grant_request::host_, &grant_request::incarnation_,
     &grant_request::account_, &grant_request::number_, &grant_request::waiting_,
-    &grant_request::wanted_, &grant_request::reports_)
+    &grant_request::wanted_, &grant_request::reports_, &grant_request::ranked_)
 JACKDAWHALL_FIELDS(
     grant_response, &grant_response::incarnation_, &grant_response::account_,
     &grant_response::number_, &grant_response::result_, &grant_response::grant_,
@@ -217,7 +218,7 @@
     call_context, &call_context::root_, &call_context::account_,
     &call_context::rank_, &call_context::timeout_, &call_context::retries_,
     &call_context::depth_, &call_context::repeatable_, &call_context::caller_,
-    &call_context::objective_)
+    &call_context::objective_, &call_context::route_rank_)
 JACKDAWHALL_FIELDS(
     forward, &forward::number_, &forward::service_, &forward::server_id_,
     &forward::context_, &forward::suspect_, &forward::request_)
--- a/test/correctness/grants_occupy.cpp
+++ b/test/correctness/grants_occupy.cpp
@@ -28,7 +28,7 @@
     std::vector<grant_report> reports = {})
 {
     static std::uint64_t number = 0;
-    return {host, 1, acme, ++number, waiting, 0, std::move(reports)};
+    return {host, 1, acme, ++number, waiting, 0, {}, std::move(reports)};
 }
 
 // An allocator, driven by hand.
--- a/test/correctness/shared_rates.cpp
+++ b/test/correctness/shared_rates.cpp
@@ -20,6 +20,7 @@
     r.account_ = account_name::make("acme").value();
     r.number_ = number;
     r.waiting_ = tokens;
+    r.ranked_ = {{first_rank_of_callers, tokens}};
     return r;
 }
 
@@ -63,6 +64,36 @@
     CHECK(given >= rate * 6);
 }
 
+TEST_CASE("what matters most finds tokens while the rest asks for too many")
+{
+    account_limits const part{100'000, 40}; // 100 a second
+    rank const important = first_rank_of_callers;
+    rank const other = important + 2;
+    allocation state;
+    std::uint64_t number = 0;
+    std::int64_t refused = 0;
+    std::int64_t given = 0;
+    // 150 a second for four seconds, of which one in five matters most. Each
+    // kind asks by itself, so that only the reserve puts one before the other.
+    instant const begin = instant{} + 60s;
+    for (int i = 0; i < 600; ++i)
+    {
+        grant_request r = ask_for(1, ++number);
+        bool const matters = i % 5 == 0;
+        r.ranked_ = {{matters ? important : other, 1}};
+        allocation_step step = allocate_part(
+            std::move(state), part, r, begin + duration(4s) * i / 600);
+        state = std::move(step.state_);
+        std::int64_t const tokens = step.response_->tokens_;
+        given += tokens;
+        refused += matters && tokens == 0 ? 1 : 0;
+    }
+    CHECK(refused == 0);
+    // The rate and the burst, but for the reserve, are given out all the same.
+    CHECK(given >= 400);
+    CHECK(given <= 440);
+}
+
 TEST_CASE("a host counts its own demand as the others know it")
 {
     account_name const account = ask_for(1, 1).account_;
