Spend more of the retries that a service may have

Cause: only half of a service's share of retries was spent, while answers lost at a called service (five calls a request) fail whole requests. What daemons save up grows with their number, which the budget did not count.

Change: nine tenths of the share and of the slack, less what all daemons together may have saved up; where that is more than the slack, half of the share.

--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -15,6 +15,11 @@
 // A request is tried again once after a loss: what was lost twice may be what
 // crashes its servers.
 constexpr std::uint32_t most_losses = 1;
+// Parts of what is allowed to a service that are spent.
+constexpr double used_slack = 0.9;
+constexpr double used_share = 0.9;
+// Where the slack cannot hold what so many daemons may have saved up.
+constexpr double careful_share = 0.5;
 // Retry credits of an account at one daemon.
 constexpr double most_credits = 10;
 
@@ -151,14 +156,19 @@
     retry_budget& b = s.retry_budgets_[c.service_];
     double const daemons =
         static_cast<double>(std::max<std::int64_t>(1, s.daemons_));
+    // What all daemons may have saved up is spent from the slack; the rest of
+    // it is theirs in equal parts.
+    double const spare = r.slack_ * used_slack - r.most_ * daemons;
+    double const a_second =
+        std::max(0.0, spare) / std::chrono::duration<double>(r.window_).count();
+    double const share = r.share_ * (spare >= 0 ? used_share : careful_share);
     double const since =
         b.as_of_ == instant{}
             ? 0
             : std::chrono::duration<double>(now - b.as_of_).count();
-    double const earned = c.open_ ? 0 : r.earned_;
+    double const earned = c.open_ ? 0 : share;
     double const most = b.makes_calls_ ? r.calling_cost_ : r.most_;
-    b.left_ =
-        std::min(most, b.left_ + earned + since * r.fleet_per_s_ / daemons);
+    b.left_ = std::min(most, b.left_ + earned + since * a_second / daemons);
     b.as_of_ = now;
 }
 
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -88,9 +88,10 @@
 // calls makes retries of them too, and so must be rare.
 struct retry_allowance
 {
-    double earned_ = 0.1;      // for each first try at a service
-    double fleet_per_s_ = 0;   // beside that, for a service, by all daemons
-    double most_ = 1;          // that may be saved up for a service
+    double share_ = 0.1; // of the first tries at a service
+    double slack_ = 0;   // beside that, in a window, by all daemons
+    duration window_ = std::chrono::seconds(10);
+    double most_ = 1;          // that a daemon may save up for a service
     double calling_cost_ = 60; // of a retry at a service that makes calls
     auto operator<=>(retry_allowance const&) const = default;
 };
--- a/packages/daemon/jackdawhall/daemon/node_settings.cpp
+++ b/packages/daemon/jackdawhall/daemon/node_settings.cpp
@@ -16,9 +16,6 @@
 constexpr int control_timeouts_in_force = 2;
 // Backend servers say that they live every one or two seconds, some late.
 constexpr duration announcement_lifetime = std::chrono::seconds(8);
-// Part of the retries allowed to a service that is spent: a window may hold
-// what was saved up before it.
-constexpr double used_retries = 0.5;
 
 // A graceful stop takes new calls for half of its grace, and leaves this much
 // of it for the end of the process.
@@ -35,9 +32,9 @@
     to.control_timeout_ = in_force / control_timeouts_in_force;
     to.announcement_lifetime_ = announcement_lifetime;
     to.admission_ = calls::announced_slots{};
-    to.retry_allowance_.earned_ = i.retry_share_ * used_retries;
-    to.retry_allowance_.fleet_per_s_ =
-        i.retry_slack_ * used_retries / i.retry_window_s_;
+    to.retry_allowance_.share_ = i.retry_share_;
+    to.retry_allowance_.slack_ = i.retry_slack_;
+    to.retry_allowance_.window_ = std::chrono::seconds(i.retry_window_s_);
     duration const grace = std::chrono::seconds(i.grace_s_);
     to.stop_times_ = {grace / accepting_divisor, grace - exit_margin};
 }
