--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -88,9 +88,10 @@
 // calls makes retries of them too, and so must be rare.
 struct retry_allowance
 {
-    double earned_ = 0.1;      // for each first try at a service
-    double fleet_per_s_ = 0;   // beside that, for a service, by all daemons
-    double most_ = 1;          // that may be saved up for a service
+    double share_ = 0.1; // of the first tries at a service
+    double slack_ = 0;   // beside that, in a window, by all daemons
+    duration window_ = std::chrono::seconds(10);
+    double most_ = 1;          // that a daemon may save up for a service
     double calling_cost_ = 60; // of a retry at a service that makes calls
     auto operator<=>(retry_allowance const&) const = default;
 };
@@ -233,16 +234,25 @@
     auto operator<=>(held_grant const&) const = default;
 };
 
+// A call that waits for a token.
+struct token_wait_entry
+{
+    call_number number_ = 0;
+    rank route_rank_ = lowest_rank;
+    auto operator<=>(token_wait_entry const&) const = default;
+};
+
 // Tokens of one account at this daemon.
 struct holding
 {
     std::vector<held_grant> grants_;
-    std::deque<call_number> waiting_; // calls, oldest first
-    std::uint64_t asked_ = 0;         // number of the request in progress
+    std::vector<token_wait_entry> waiting_; // oldest first
+    std::uint64_t asked_ = 0;               // number of the request in progress
     instant asked_at_;
     std::int64_t asked_waiting_ = 0;
     instant last_call_;
-    instant ask_again_;      // not before
+    rank asked_rank_ = lowest_rank; // of the most important call asked for
+    instant ask_again_; // not before, for calls of that rank or less important
     bool allocated_ = false; // an allocator gave the last answer
     // Calls in the current and the last prefetch window, as demand.
     instant window_ends_;
