Refuse what waits at a gate in time to say that it has not run

The gate dropped a queued run at its deadline, which the entry's own deadline precedes by the way of the message, so the entry had answered that it may have run.

Change: a queued run is refused 50 ms before its deadline, or an eighth of its time. A deadline blames a server only if it has answered nobody since.

--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -47,9 +47,22 @@
     tell(w, run.entry_, std::move(a));
 }
 
+// A queued run is refused so long before its deadline that its entry hears of
+// it in time, and can say that it has not run.
+constexpr duration refusal_way = std::chrono::milliseconds(50);
+constexpr int refusal_way_divisor = 8; // of the time that the run had
+
+instant due_of(gate_run const& run)
+{
+    if (run.running_)
+        return run.deadline_;
+    duration const time = run.deadline_ - run.since_;
+    return run.deadline_ - std::min(refusal_way, time / refusal_way_divisor);
+}
+
 void forget_run(state& s, gate_run const& run)
 {
-    s.run_due_.erase({run.deadline_, run.number_});
+    s.run_due_.erase({due_of(run), run.number_});
     s.run_of_forward_.erase({run.entry_, run.forward_});
     if (!run.ticket_.empty())
         s.tickets_.erase(run.ticket_);
@@ -220,6 +233,8 @@
     gate_run& run = w.state_->runs_.at(number);
     std::erase(server.queued_, number);
     server.running_.insert(number);
+    w.state_->run_due_.erase({due_of(run), number});
+    w.state_->run_due_.emplace(run.deadline_, number);
     server.served_[run.context_.account_] += 1;
     run.running_ = true;
     run.started_ = w.at_.now_;
@@ -336,7 +351,7 @@
     }
     state& s = *w.state_;
     s.locals_.at(f.server_id_).queued_.push_back(run.number_);
-    s.run_due_.emplace(run.deadline_, run.number_);
+    s.run_due_.emplace(due_of(run), run.number_);
     s.run_of_forward_.emplace(std::pair{run.entry_, run.forward_}, run.number_);
     s.runs_.emplace(run.number_, std::move(run));
     w = start_runs(std::move(w), f.server_id_);
@@ -357,7 +372,7 @@
         std::optional<call_number> const next = next_to_run(w, server);
         if (!next)
             break;
-        if (w.at_.now_ >= w.state_->runs_.at(*next).deadline_)
+        if (w.at_.now_ >= due_of(w.state_->runs_.at(*next)))
             refuse_run(w, *next, refusal_reason::deadline_passed);
         else
             start_run(w, server, *next);
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -55,8 +55,12 @@
     e.failures_ = 0;
 }
 
-bool blames_server(doubt_reason reason)
+// A call that ran out of time blames a server only if that server has answered
+// nobody since: one that answers others is busy, and its load says so.
+bool blames_server(doubt_reason reason, evidence const& e, instant since)
 {
+    if (reason == doubt_reason::deadline_passed)
+        return e.answered_ < since;
     return reason != doubt_reason::cancelled &&
            reason != doubt_reason::already_claimed;
 }
@@ -228,10 +232,14 @@
             },
             [&](may_have_run const& r)
             {
-                if (blames_server(r.reason_))
+                if (blames_server(r.reason_, e, f.since_))
                     fail(w, key, e, to_text(r.reason_));
             },
-            [&](ran const&) { succeed(w, key, e, now - f.since_); },
+            [&](ran const&)
+            {
+                e.answered_ = now;
+                succeed(w, key, e, now - f.since_);
+            },
         },
         a.verdict_);
     return w;
