Read the settings again when their file changes without a signal

Cause: only SIGHUP was noticed, while the file may change without one (listed open in docs/PLATFORM.md). Ruled out: GIO's file monitor, which has a thread of its own.

Change: the time at which the file was written is looked at once a second.

--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -10,6 +10,20 @@
 namespace
 {
 
+constexpr duration settings_check = std::chrono::seconds(1);
+
+// When a file was last written; nothing while there is none.
+std::optional<std::filesystem::file_time_type>
+time_written(std::string const& path)
+{
+    std::error_code error;
+    std::filesystem::file_time_type const written =
+        std::filesystem::last_write_time(path, error);
+    if (error)
+        return std::nullopt;
+    return written;
+}
+
 // Number of a forward, by which a lost link tells what it may have carried.
 std::uint64_t tag_of(message const& m)
 {
@@ -121,11 +135,23 @@
 void daemon::remember_settings_file(std::string path)
 {
     settings_file_ = std::move(path);
+    settings_written_ = time_written(settings_file_);
+}
+
+// The file may also change without a signal.
+void daemon::watch_settings_file()
+{
+    std::optional<std::filesystem::file_time_type> const written =
+        time_written(settings_file_);
+    if (written && written != settings_written_)
+        reload();
+    settings_watch_.set(settings_check, [this] { watch_settings_file(); });
 }
 
 // Only the control hosts named may change while a daemon runs.
 void daemon::reload()
 {
+    settings_written_ = time_written(settings_file_);
     settings::checked_settings const read =
         settings::read_settings(settings_file_);
     for (settings::problem const& p : read.problems_)
@@ -171,6 +197,8 @@
          {"call", settings_.call_ ? "yes" : "no"},
          {"control", settings_.control_ ? "yes" : "no"}});
     timer_fired();
+    if (!settings_file_.empty())
+        watch_settings_file();
     loop_.run();
     say(severity::info, part::daemon, "stopped");
     return EXIT_SUCCESS;
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <deque>
+#include <filesystem>
 #include <memory>
 #include <optional>
 #include <set>
@@ -54,6 +55,7 @@
     leaf::result<void> start_own_front();
     leaf::result<void> start_infrastructure();
     void reload();
+    void watch_settings_file();
 
     // Inputs.
     void give(calls::input in);
@@ -125,6 +127,8 @@
     std::unique_ptr<loop::http_server> readiness_; // of the infrastructure
     std::unique_ptr<loop::backend_client> backends_;
     std::string settings_file_;
+    std::optional<std::filesystem::file_time_type> settings_written_;
+    loop::event_loop::delayed settings_watch_;
     revision limits_as_of_ = 0; // revision whose limits the callers' side has
 
     std::deque<std::variant<calls::input, control::input>> inputs_;
--- a/test/correctness/attempts_bounded.cpp
+++ b/test/correctness/attempts_bounded.cpp
@@ -149,6 +149,27 @@
         refusal_reason::deadline_passed);
 }
 
+TEST_CASE("calls that run out of time at a busy server do not set it aside")
+{
+    memory_fleet fleet({});
+    settle(fleet, 5);
+    fleet.add_backend(0, make_backend("only", "once"));
+    put_document(fleet);
+    request const slow =
+        with_header(call("POST", "/once/x"), "fake-sleep-ms", "5000");
+    for (int i = 0; i < 6; ++i)
+    {
+        fleet.send_request(1, with_deadline(slow, "200"));
+        fleet.run_for(100ms);
+        fleet.send_request(1, call("POST", "/once/x"));
+        fleet.run_for(200ms);
+    }
+    calls::state const& entry = fleet.calls_of(1);
+    REQUIRE(entry.evidence_.size() == 1);
+    CHECK(entry.evidence_.begin()->second.set_asides_ == 0);
+    CHECK(entry.evidence_.begin()->second.failures_ == 0);
+}
+
 TEST_CASE("a repeatable run ends soon after its caller has left")
 {
     memory_fleet fleet({});
