--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -84,6 +84,7 @@
     for (token_wait_entry const& call : h.waiting_)
         ++counts[call.route_rank_];
     std::vector<ranked_calls> ranked;
+    ranked.reserve(counts.size());
     for (auto const& [r, count] : counts)
         ranked.push_back({r, count});
     return ranked;
