--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -285,7 +285,7 @@
     rank admitted_ = lowest_rank;
     instant admitted_until_;
     std::uint32_t failures_ = 0; // in a row
-    instant answered_; // last answer to a call of this daemon
+    instant answered_;           // last answer to a call of this daemon
     instant set_aside_until_;
     std::uint32_t set_asides_ = 0; // in a row
     instant known_since_;
