Hand finished log lines on without a class of our own

Cause: the sink derived from spdlog's, while no class here overrides a function of another (docs/DESIGN.md). Now spdlog's own sink formats into a stream, and what is finished goes to the output that does not wait.

Test: failure/stalled_log_reader passes as before.

--- a/packages/daemon/jackdawhall/daemon/log.cpp
+++ b/packages/daemon/jackdawhall/daemon/log.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <sstream>
+#include <utility>
 
 #include <jackdawhall/loop.hpp>
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/base_sink.h>
+#include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
@@ -16,30 +18,13 @@
 namespace
 {
 
-// Hands finished lines to an output that does not wait.
-class output_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
-{
-public:
-    explicit output_sink(loop::line_output& output) : output_(output) {}
-
-private:
-    void sink_it_(spdlog::details::log_msg const& m) override
-    {
-        spdlog::memory_buf_t line;
-        formatter_->format(m, line);
-        output_.write({line.data(), line.size()});
-    }
-    void flush_() override {}
-
-    loop::line_output& output_;
-};
-
 struct log_state
 {
     std::string host_;
     bool json_ = false;
     std::map<std::string, line_budget> budgets_; // by sentence
     log_counts counts_;
+    std::ostringstream formatted_; // lines that spdlog has finished
     loop::line_output output_{STDOUT_FILENO, max_waiting_bytes};
 };
 
@@ -126,7 +111,8 @@
     current().host_ = s.host_.str();
     current().json_ = s.log_format_ == settings::log_format::json;
     auto logger = std::make_shared<spdlog::logger>(
-        "main", std::make_shared<output_sink>(current().output_));
+        "main",
+        std::make_shared<spdlog::sinks::ostream_sink_st>(current().formatted_));
     logger->set_level(spdlog::level::from_str(s.log_level_));
     logger->set_pattern(
         current().json_ ? "%v"
@@ -161,6 +147,7 @@
                                  : as_text(from, sentence, all);
     ++current().counts_.written_;
     spdlog::log(level_of(level), "{}", line);
+    current().output_.write(std::exchange(current().formatted_, {}).str());
 }
 
 void log(
