--- a/packages/calls/jackdawhall/calls/passage.hpp
+++ b/packages/calls/jackdawhall/calls/passage.hpp
@@ -80,6 +80,13 @@
 work admit(work w, host_name const& entry, forward const& f);
 // Starts queued runs as far as the server's limit allows.
 work start_runs(work w, std::string const& server_id);
+// Lets the memory of the accounts served lately fade.
+void decay_served(local_server& server, instant now);
+// The queued call that runs next; nothing if none may run now.
+std::optional<call_number>
+next_to_run(work const& w, local_server const& server);
+// The queued call that matters least; there must be one.
+call_number last_to_run(work const& w, local_server const& server);
 // Takes the outcome of a run.
 work finish_run(work w, backend_done const& done);
 // Takes the outcome of a probe; a dead server's requests are suspects.
