--- a/packages/ctl/jackdawhall/ctl.hpp
+++ b/packages/ctl/jackdawhall/ctl.hpp
@@ -2,6 +2,7 @@
 // out.
 #pragma once
 
+#include <jackdawhall/ctl/command.hpp>
 #include <jackdawhall/ctl/commands.hpp>
 #include <jackdawhall/ctl/control_client.hpp>
 #include <jackdawhall/ctl/records_file.hpp>
--- a/packages/loop/jackdawhall/loop/http_fetch.cpp
+++ b/packages/loop/jackdawhall/loop/http_fetch.cpp
@@ -2,11 +2,35 @@
 
 #include <libsoup/soup.h>
 
+#include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/gobject.hpp>
 
 namespace jackdawhall::loop
 {
 
+namespace
+{
+
+// What came of the request; the loop that waits for it ends then.
+struct outcome
+{
+    event_loop& loop_;
+    bytes_ptr bytes_;
+    error_ptr error_;
+};
+
+void take_outcome(GObject* session, GAsyncResult* result, gpointer data)
+{
+    outcome& o = *static_cast<outcome*>(data);
+    GError* raw = nullptr;
+    o.bytes_.reset(
+        soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raw));
+    o.error_.reset(raw);
+    o.loop_.quit();
+}
+
+} // namespace
+
 leaf::result<answer>
 fetch(endpoint const& to, request const& r, std::chrono::seconds timeout)
 {
@@ -31,10 +55,14 @@
         soup_message_set_request_body_from_bytes(
             message.get(), "application/json", body.get());
     }
-    GError* raw = nullptr;
-    bytes_ptr const bytes(soup_session_send_and_read(
-        session.get(), message.get(), nullptr, &raw));
-    error_ptr const error(raw);
+    event_loop loop;
+    outcome got{loop, nullptr, nullptr};
+    soup_session_send_and_read_async(
+        session.get(), message.get(), G_PRIORITY_DEFAULT, nullptr, take_outcome,
+        &got);
+    loop.run();
+    bytes_ptr const bytes = std::move(got.bytes_);
+    error_ptr const error = std::move(got.error_);
     if (!bytes)
         return leaf::new_error(user_error{
             place + " gave no answer: " + message_of(error),
@@ -51,7 +79,10 @@
 
 void pause_program(duration d)
 {
-    g_usleep(static_cast<gulong>(d.count()));
+    event_loop loop;
+    event_loop::delayed end;
+    end.set(d, [&loop] { loop.quit(); });
+    loop.run();
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_fetch.hpp
+++ b/packages/loop/jackdawhall/loop/http_fetch.hpp
@@ -1,4 +1,4 @@
-// One HTTP request that a command-line program waits for.
+// One HTTP request that a command-line program waits for, on a main loop.
 #pragma once
 
 #include <jackdawhall/model.hpp>
@@ -10,7 +10,8 @@
 leaf::result<answer>
 fetch(endpoint const& to, request const& r, std::chrono::seconds timeout);
 
-// Lets a command-line program sleep. Never called by the daemon.
+// Lets a command-line program wait on a main loop of its own. Never called by
+// the daemon, which has one loop.
 void pause_program(duration d);
 
 } // namespace jackdawhall::loop
