Frames between daemons as a variant; one copy of timers, silent hosts, proposals

Cause: a look at the shape and at the list of duplicates.

Change: frames are decoded once into a variant and visited; what waits to be written is a value of its own; timers take a function; one way to find silent hosts, and one to propose a command or pass it on. The fleet in memory is split by network and backends.

Found by the new test on its first run: a ping with a payload was taken, and the payload dropped. Now it is malformed.

--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -15,22 +15,24 @@
         p.effects_.push_back(answer_operator{to.number_, outcome});
 }
 
-void take_change(passage& p, asker const& from, change const& wanted)
+// Proposes a command here, or hands what was asked for on to the leader; who
+// asked is remembered by the operation.
+template <class Command, class Request>
+void propose_or_pass_on(
+    passage& p, asker const& from, std::string const& operation,
+    Command command, Request request)
 {
     state& s = p.state_;
     std::optional<host_name> const leader = leader_of(s.consensus_);
     if (is_leader(s.consensus_))
     {
-        s.askers_.emplace(wanted.operation_id_, from);
-        propose_commands(p, {change_command{wanted, p.at_.wall_}});
+        s.askers_.emplace(operation, from);
+        propose_commands(p, {std::move(command)});
     }
     else if (leader && !from.host_)
     {
-        s.askers_.emplace(wanted.operation_id_, from);
-        p.effects_.push_back(send{
-            {*leader,
-             change_request{
-                 from.number_, s.consensus_.settings_.self_, wanted}}});
+        s.askers_.emplace(operation, from);
+        p.effects_.push_back(send{{*leader, std::move(request)}});
     }
     else
     {
@@ -38,32 +40,22 @@
     }
 }
 
+void take_change(passage& p, asker const& from, change const& wanted)
+{
+    propose_or_pass_on(
+        p, from, wanted.operation_id_, change_command{wanted, p.at_.wall_},
+        change_request{
+            from.number_, p.state_.consensus_.settings_.self_, wanted});
+}
+
 void take_document(passage& p, asker const& from, document const& wanted)
 {
-    state& s = p.state_;
-    std::optional<host_name> const leader = leader_of(s.consensus_);
-    std::optional<rejected> const wrong = check_document(wanted);
-    if (wrong)
-    {
-        answer(p, from, *wrong);
-    }
-    else if (is_leader(s.consensus_))
-    {
-        s.askers_.emplace(operation_of(wanted), from);
-        propose_commands(p, {document_command{wanted, p.at_.wall_}});
-    }
-    else if (leader && !from.host_)
-    {
-        s.askers_.emplace(operation_of(wanted), from);
-        p.effects_.push_back(send{
-            {*leader,
-             document_request{
-                 from.number_, s.consensus_.settings_.self_, wanted}}});
-    }
-    else
-    {
-        answer(p, from, unknown_outcome{"no leader among the control hosts"});
-    }
+    if (std::optional<rejected> const wrong = check_document(wanted))
+        return answer(p, from, *wrong);
+    propose_or_pass_on(
+        p, from, operation_of(wanted), document_command{wanted, p.at_.wall_},
+        document_request{
+            from.number_, p.state_.consensus_.settings_.self_, wanted});
 }
 
 // The leader's answer to a change that this host handed on.
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -83,15 +83,24 @@
     return own;
 }
 
-void drop_silent_daemons(membership& m, instant now)
+// Hosts not heard of for longer than `lifetime`.
+template <class Heard>
+std::vector<host_name> silent_hosts(
+    std::map<host_name, Heard> const& known, instant now, duration lifetime)
 {
     std::vector<host_name> silent;
-    for (auto const& [host, daemon] : m.attached_)
+    for (auto const& [host, one] : known)
     {
-        if (now - daemon.heard_ > announcement_lifetime)
+        if (now - one.heard_ > lifetime)
             silent.push_back(host);
     }
-    for (host_name const& host : silent)
+    return silent;
+}
+
+void drop_silent_daemons(membership& m, instant now)
+{
+    for (host_name const& host :
+         silent_hosts(m.attached_, now, announcement_lifetime))
     {
         replace_attached(m, host, {});
         m.attached_.erase(host);
@@ -110,13 +119,7 @@
 
 void drop_silent_origins(membership& m, instant now)
 {
-    std::vector<host_name> silent;
-    for (auto const& [host, known] : m.origins_)
-    {
-        if (now - known.heard_ > origin_lifetime)
-            silent.push_back(host);
-    }
-    for (host_name const& host : silent)
+    for (host_name const& host : silent_hosts(m.origins_, now, origin_lifetime))
         drop_origin(m, host);
 }
 
--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -128,14 +128,7 @@
     connections_.emplace(&c, std::move(made));
     c.owner_ = this;
     c.to_ = to;
-    c.timer_ = make_timer(
-        [](gpointer data) -> gboolean
-        {
-            connection& late = *static_cast<connection*>(data);
-            late.owner_->time_out(late);
-            return G_SOURCE_CONTINUE;
-        },
-        &c);
+    c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
     c.connecting_fd_ = begin_connect(to);
     if (c.connecting_fd_ < 0)
         return c;
@@ -345,14 +338,7 @@
             return G_SOURCE_REMOVE;
         },
         &p);
-    p.timer_ = make_timer(
-        [](gpointer data) -> gboolean
-        {
-            probe_in_progress& late = *static_cast<probe_in_progress*>(data);
-            late.owner_->end_probe(late, false);
-            return G_SOURCE_CONTINUE;
-        },
-        &p);
+    p.timer_ = make_timer([&p] { p.owner_->end_probe(p, false); });
     set_timer_due(p.timer_, read_clocks().now_ + connect_timeout);
 }
 
--- a/packages/loop/jackdawhall/loop/event_loop.cpp
+++ b/packages/loop/jackdawhall/loop/event_loop.cpp
@@ -48,14 +48,11 @@
     timer_due_ = due;
     if (!timer_)
         timer_ = make_timer(
-            [](gpointer self) -> gboolean
+            [this]
             {
-                event_loop& l = *static_cast<event_loop*>(self);
-                l.timer_due_.reset();
-                l.on_timer_();
-                return G_SOURCE_CONTINUE;
-            },
-            this);
+                timer_due_.reset();
+                on_timer_();
+            });
     set_timer_due(timer_, due);
 }
 
@@ -64,14 +61,11 @@
     f_ = std::move(f);
     if (!timer_)
         timer_ = make_timer(
-            [](gpointer self) -> gboolean
+            [this]
             {
-                std::function<void()> const due =
-                    std::exchange(static_cast<delayed*>(self)->f_, {});
+                std::function<void()> const due = std::exchange(f_, {});
                 due();
-                return G_SOURCE_CONTINUE;
-            },
-            this);
+            });
     set_timer_due(timer_, read_clocks().now_ + after);
 }
 
--- a/packages/loop/jackdawhall/loop/gobject.hpp
+++ b/packages/loop/jackdawhall/loop/gobject.hpp
@@ -47,6 +47,16 @@
     g_source_attach(source.get(), nullptr);
 }
 
+// Calls `f` when a socket has one of the conditions.
+inline source_ptr watch_socket(
+    GSocket* socket, GIOCondition condition, GSocketSourceFunc f, gpointer data)
+{
+    source_ptr source(g_socket_create_source(socket, condition, nullptr));
+    g_source_set_callback(source.get(), G_SOURCE_FUNC(f), data, nullptr);
+    attach(source);
+    return source;
+}
+
 template <class Object>
 object_ptr<Object> share(Object* object)
 {
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -119,14 +119,7 @@
                 [&c] { c.owner_->take_bytes(c); },
                 [&c](stream_end) { c.owner_->take_end(c); },
                 {}});
-        c.timer_ = make_timer(
-            [](gpointer data) -> gboolean
-            {
-                connection& late = *static_cast<connection*>(data);
-                late.owner_->time_out(late);
-                return G_SOURCE_CONTINUE;
-            },
-            &c);
+        c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
         begin_request(c);
     }
 }
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -1,10 +1,10 @@
 #include <jackdawhall/loop/peer_links.hpp>
 
 #include <algorithm>
-#include <cstring>
-#include <deque>
 
 #include <jackdawhall/loop/event_loop.hpp>
+#include <jackdawhall/loop/frame_queue.hpp>
+#include <jackdawhall/loop/peer_frames.hpp>
 #include <jackdawhall/loop/socket_options.hpp>
 #include <jackdawhall/loop/timer.hpp>
 
@@ -14,13 +14,6 @@
 namespace
 {
 
-constexpr char ping_kind = 0;
-constexpr char pong_kind = 1;
-constexpr char message_kind = 2;
-constexpr char challenge_kind = 3;
-constexpr char hello_kind = 4;
-
-constexpr std::size_t frame_header_bytes = 5;
 constexpr std::size_t nonce_bytes = 16;
 constexpr std::uint32_t max_unproven_frame_bytes = 512;
 constexpr std::size_t read_bytes = 64 << 10;
@@ -40,15 +33,6 @@
     return read_clocks().now_;
 }
 
-std::string frame(char kind, std::string const& payload)
-{
-    guint32 const length =
-        GUINT32_TO_BE(static_cast<guint32>(payload.size() + 1));
-    std::string bytes(reinterpret_cast<char const*>(&length), sizeof length);
-    bytes.push_back(kind);
-    return bytes + payload;
-}
-
 } // namespace
 
 enum class link_stage
@@ -59,15 +43,6 @@
     closed
 };
 
-// A frame that waits to be written.
-struct waiting_frame
-{
-    std::uint64_t end_ = 0; // offset in the stream
-    std::uint64_t size_ = 0;
-    std::uint64_t tag_ = 0;
-    std::string message_; // kept to give it back; empty if no message
-};
-
 struct peer_links::link
 {
     peer_links* owner_ = nullptr;
@@ -83,12 +58,8 @@
     timer_ptr timer_;
     std::optional<instant> timer_due_;
     std::string in_;
-    std::string out_;
-    std::uint64_t written_ = 0; // bytes of the stream
-    std::uint64_t queued_ = 0;
-    std::deque<waiting_frame> frames_;
+    frame_queue waiting_;
     std::deque<std::pair<std::string, std::uint64_t>> before_ready_;
-    std::uint64_t newest_written_ = 0;
     std::optional<instant> unanswered_since_;
     instant last_received_;
 };
@@ -170,7 +141,7 @@
     adopt(l, connection);
     random_source random = random_source::unpredictable();
     l.nonce_ = random.hex(nonce_bytes);
-    queue(l, challenge_kind, l.nonce_, 0, false);
+    queue(l, challenge_frame{l.nonce_}, 0);
     if (l.stage_ != link_stage::closed)
         arm(l, handshake_timeout);
 }
@@ -220,18 +191,15 @@
     g_socket_set_blocking(l.socket_, FALSE);
     g_socket_set_timeout(l.socket_, 0);
     set_socket_options(l.socket_);
-    l.readable_.reset(g_socket_create_source(l.socket_, G_IO_IN, nullptr));
-    g_source_set_callback(
-        l.readable_.get(),
-        G_SOURCE_FUNC(
-            +[](GSocket*, GIOCondition, gpointer data) -> gboolean
-            {
-                link& ready = *static_cast<link*>(data);
-                ready.owner_->read_ready(ready);
-                return G_SOURCE_CONTINUE;
-            }),
-        &l, nullptr);
-    attach(l.readable_);
+    l.readable_ = watch_socket(
+        l.socket_, G_IO_IN,
+        [](GSocket*, GIOCondition, gpointer data) -> gboolean
+        {
+            link& ready = *static_cast<link*>(data);
+            ready.owner_->read_ready(ready);
+            return G_SOURCE_CONTINUE;
+        },
+        &l);
 }
 
 void peer_links::close(link& l, std::string const& why)
@@ -252,23 +220,14 @@
     if (!l.host_.empty() && !why.empty())
         handlers_.note_("link with " + l.host_.str() + " closed: " + why);
     host_name const host = l.host_;
-    std::uint64_t const newest = l.newest_written_;
-    std::vector<std::string> unwritten;
-    for (waiting_frame& f : l.frames_)
-    {
-        if (f.end_ - f.size_ >= l.written_ && !f.message_.empty())
-            unwritten.push_back(std::move(f.message_));
-        else if (f.tag_ != 0)
-            l.newest_written_ = f.tag_;
-    }
+    std::vector<std::string> unwritten = take_unwritten(l.waiting_);
     for (auto& waiting : l.before_ready_)
         unwritten.push_back(std::move(waiting.first));
-    l.frames_.clear();
     l.before_ready_.clear();
     for (std::string& bytes : unwritten)
         handlers_.undelivered_(host, std::move(bytes));
     if (was_ready)
-        handlers_.lost_(host, std::max(newest, l.newest_written_));
+        handlers_.lost_(host, l.waiting_.newest_written_);
     // The link may still be in use by the functions that closed it.
     collect_.ask();
 }
@@ -281,12 +240,11 @@
 
 void peer_links::read_ready(link& l)
 {
-    std::vector<char>& chunk = read_buffer_;
     for (int i = 0; i < reads_at_once && l.stage_ != link_stage::closed; ++i)
     {
         GError* raw = nullptr;
         gssize const n = g_socket_receive(
-            l.socket_, chunk.data(), chunk.size(), nullptr, &raw);
+            l.socket_, read_buffer_.data(), read_buffer_.size(), nullptr, &raw);
         error_ptr const error(raw);
         if (n < 0 && g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
             return;
@@ -294,9 +252,9 @@
             return close(l, n == 0 ? "peer closed it" : message_of(error));
         l.last_received_ = now();
         l.unanswered_since_.reset();
-        l.in_.append(chunk.data(), static_cast<std::size_t>(n));
+        l.in_.append(read_buffer_.data(), static_cast<std::size_t>(n));
         take_frames(l);
-        if (static_cast<std::size_t>(n) < chunk.size())
+        if (static_cast<std::size_t>(n) < read_buffer_.size())
             return;
     }
 }
@@ -304,78 +262,78 @@
 void peer_links::take_frames(link& l)
 {
     std::size_t at = 0;
-    while (l.stage_ != link_stage::closed && l.in_.size() - at >= 4)
+    bool whole = true;
+    while (whole && l.stage_ != link_stage::closed)
     {
-        guint32 length = 0;
-        std::memcpy(&length, l.in_.data() + at, sizeof length);
-        length = GUINT32_FROM_BE(length);
         std::uint32_t const most = l.stage_ == link_stage::ready
                                        ? max_frame_bytes
                                        : max_unproven_frame_bytes;
-        if (length == 0 || length > most)
-            return close(l, "frame of " + std::to_string(length) + " bytes");
-        if (l.in_.size() - at < 4 + length)
-            break;
-        char const kind = l.in_[at + 4];
-        std::string payload = l.in_.substr(at + 5, length - 1);
-        at += 4 + length;
-        take_frame(l, kind, std::move(payload));
+        received_frame next =
+            decode_frame(std::string_view(l.in_).substr(at), most);
+        std::visit(
+            overloaded{
+                [&](incomplete_frame const&) { whole = false; },
+                [&](malformed_frame const& m) { close(l, m.what_); },
+                [&](whole_frame& f)
+                {
+                    at += f.size_;
+                    take_frame(l, std::move(f.frame_));
+                },
+            },
+            next);
     }
     if (l.stage_ != link_stage::closed)
         l.in_.erase(0, at);
 }
 
-void peer_links::take_frame(link& l, char kind, std::string payload)
+void peer_links::take_frame(link& l, peer_frame f)
 {
     if (l.stage_ == link_stage::proving)
+        return take_unproven(l, f);
+    std::visit(
+        overloaded{
+            [&](ping_frame const&) { queue(l, pong_frame{}, 0); },
+            [](pong_frame const&) {},
+            [&](message_frame& m)
+            { handlers_.received_(l.host_, std::move(m.bytes_)); },
+            [&](auto const&) { close(l, "a greeting on a proven link"); },
+        },
+        f);
+}
+
+// On a link on which the connecting side has not proven itself yet.
+void peer_links::take_unproven(link& l, peer_frame const& f)
+{
+    challenge_frame const* challenge = std::get_if<challenge_frame>(&f);
+    hello_frame const* hello = std::get_if<hello_frame>(&f);
+    if (l.outbound_ && challenge)
     {
-        if (l.outbound_ && kind == challenge_kind)
-        {
-            queue(
-                l, hello_kind, self_.str() + "\n" + proof(payload, self_.str()),
-                0, false);
-            return become_ready(l);
-        }
-        if (!l.outbound_ && kind == hello_kind)
-            return take_hello(l, payload);
-        return close(l, "no proof of the fleet's secret");
+        queue(
+            l,
+            hello_frame{
+                self_.str(),
+                prove_secret(secret_, challenge->nonce_, self_.str())},
+            0);
+        return become_ready(l);
     }
-    if (kind == ping_kind)
-        queue(l, pong_kind, {}, 0, false);
-    else if (kind == message_kind)
-        handlers_.received_(l.host_, std::move(payload));
-    else if (kind != pong_kind)
-        close(l, "frame of unknown kind");
+    if (!l.outbound_ && hello)
+        return take_hello(l, *hello);
+    close(l, "no proof of the fleet's secret");
 }
 
-void peer_links::take_hello(link& l, std::string const& payload)
+void peer_links::take_hello(link& l, hello_frame const& hello)
 {
-    std::size_t const end = payload.find('\n');
-    std::string const host = payload.substr(0, end);
-    std::string const given =
-        end == std::string::npos ? "" : payload.substr(end + 1);
-    if (!is_name(host) || !equal_in_constant_time(given, proof(l.nonce_, host)))
+    if (!is_name(hello.host_) ||
+        !equal_in_constant_time(
+            hello.proof_, prove_secret(secret_, l.nonce_, hello.host_)))
     {
         handlers_.note_("a peer without the fleet's secret was turned away");
         return close(l, "");
     }
-    l.host_ = host_name::make(host).value();
+    l.host_ = host_name::make(hello.host_).value();
     become_ready(l);
 }
 
-std::string
-peer_links::proof(std::string const& nonce, std::string const& host) const
-{
-    std::string const text = "jackdawhall 1 " + nonce + " " + host;
-    char* raw = g_compute_hmac_for_data(
-        G_CHECKSUM_SHA256, reinterpret_cast<guchar const*>(secret_.data()),
-        secret_.size(), reinterpret_cast<guchar const*>(text.data()),
-        text.size());
-    std::string hex = raw;
-    g_free(raw);
-    return hex;
-}
-
 void peer_links::become_ready(link& l)
 {
     if (l.stage_ == link_stage::closed)
@@ -389,29 +347,27 @@
         if (l.stage_ == link_stage::closed)
             handlers_.undelivered_(l.host_, std::move(bytes));
         else
-            queue(l, message_kind, bytes, tag, true);
+            queue(l, message_frame{std::move(bytes)}, tag);
     }
     if (l.stage_ != link_stage::closed)
         arm(l, l.unanswered_since_ ? probe_step : idle_probe);
 }
 
-void peer_links::queue(
-    link& l, char kind, std::string const& payload, std::uint64_t tag,
-    bool is_message)
+void peer_links::queue(link& l, peer_frame f, std::uint64_t tag)
 {
-    std::string bytes = frame(kind, payload);
-    if (l.out_.size() + bytes.size() > max_waiting_bytes)
+    std::string const bytes = encode_frame(f);
+    message_frame* message = std::get_if<message_frame>(&f);
+    bool const asks = !std::holds_alternative<pong_frame>(f);
+    if (l.waiting_.out_.size() + bytes.size() > max_waiting_bytes)
     {
-        if (is_message)
-            handlers_.undelivered_(l.host_, payload);
+        if (message)
+            handlers_.undelivered_(l.host_, std::move(message->bytes_));
         return close(l, "the peer reads too slowly");
     }
-    l.queued_ += bytes.size();
-    l.frames_.push_back(
-        {l.queued_, bytes.size(), tag, is_message ? payload : std::string{}});
-    l.out_ += bytes;
-    if (kind != pong_kind && !l.unanswered_since_ &&
-        l.stage_ == link_stage::ready)
+    add_frame(
+        l.waiting_, bytes, message ? std::move(message->bytes_) : std::string{},
+        tag);
+    if (asks && !l.unanswered_since_ && l.stage_ == link_stage::ready)
     {
         l.unanswered_since_ = now();
         arm(l, probe_after);
@@ -421,44 +377,37 @@
 
 void peer_links::flush(link& l)
 {
+    std::string const& out = l.waiting_.out_;
     std::size_t done = 0;
-    while (done < l.out_.size())
+    while (done < out.size())
     {
         GError* raw = nullptr;
         gssize const n = g_socket_send(
-            l.socket_, l.out_.data() + done, l.out_.size() - done, nullptr,
-            &raw);
+            l.socket_, out.data() + done, out.size() - done, nullptr, &raw);
         error_ptr const error(raw);
         if (n < 0 && g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
             break;
         if (n < 0)
+        {
+            take_written(l.waiting_, done);
             return close(l, message_of(error));
+        }
         done += static_cast<std::size_t>(n);
-        l.written_ += static_cast<std::uint64_t>(n);
-    }
-    l.out_.erase(0, done);
-    while (!l.frames_.empty() && l.frames_.front().end_ <= l.written_)
-    {
-        if (l.frames_.front().tag_ != 0)
-            l.newest_written_ = l.frames_.front().tag_;
-        l.frames_.pop_front();
     }
-    if (l.out_.empty())
+    take_written(l.waiting_, done);
+    if (out.empty())
         return l.writable_.reset();
     if (l.writable_)
         return;
-    l.writable_.reset(g_socket_create_source(l.socket_, G_IO_OUT, nullptr));
-    g_source_set_callback(
-        l.writable_.get(),
-        G_SOURCE_FUNC(
-            +[](GSocket*, GIOCondition, gpointer data) -> gboolean
-            {
-                link& ready = *static_cast<link*>(data);
-                ready.owner_->flush(ready);
-                return G_SOURCE_CONTINUE;
-            }),
-        &l, nullptr);
-    attach(l.writable_);
+    l.writable_ = watch_socket(
+        l.socket_, G_IO_OUT,
+        [](GSocket*, GIOCondition, gpointer data) -> gboolean
+        {
+            link& ready = *static_cast<link*>(data);
+            ready.owner_->flush(ready);
+            return G_SOURCE_CONTINUE;
+        },
+        &l);
 }
 
 void peer_links::arm(link& l, duration after)
@@ -469,14 +418,11 @@
     l.timer_due_ = due;
     if (!l.timer_)
         l.timer_ = make_timer(
-            [](gpointer data) -> gboolean
+            [&l]
             {
-                link& tended = *static_cast<link*>(data);
-                tended.timer_due_.reset();
-                tended.owner_->tend(tended);
-                return G_SOURCE_CONTINUE;
-            },
-            &l);
+                l.timer_due_.reset();
+                l.owner_->tend(l);
+            });
     set_timer_due(l.timer_, due);
 }
 
@@ -491,7 +437,7 @@
         if (silent >= close_after)
             return close(l, "the peer is silent");
         if (silent >= probe_after)
-            queue(l, ping_kind, {}, 0, false);
+            queue(l, ping_frame{}, 0);
         if (l.stage_ != link_stage::closed)
             arm(l, std::max(probe_step, probe_after - silent));
         return;
@@ -500,7 +446,7 @@
     if (!l.outbound_ && idle >= idle_close)
         return close(l, "it was idle");
     if (l.outbound_ && idle >= idle_probe)
-        return queue(l, ping_kind, {}, 0, false);
+        return queue(l, ping_frame{}, 0);
     arm(l, idle_probe);
 }
 
@@ -511,9 +457,7 @@
     {
         if (l.host_ != host || l.stage_ == link_stage::closed)
             continue;
-        bool const better = !best || (l.outbound_ && !best->outbound_) ||
-                            (l.outbound_ == best->outbound_);
-        if (better)
+        if (!best || l.outbound_ || !best->outbound_)
             best = &l;
     }
     return best;
@@ -538,7 +482,7 @@
     if (!l)
         return handlers_.undelivered_(to, std::move(bytes));
     if (l->stage_ == link_stage::ready)
-        queue(*l, message_kind, bytes, tag, true);
+        queue(*l, message_frame{std::move(bytes)}, tag);
     else
         l->before_ready_.emplace_back(std::move(bytes), tag);
 }
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -1,6 +1,6 @@
-// Kept connections between daemons. A frame is a 4-byte length, a kind and
-// bytes. The accepting side sends a challenge, and the connecting side proves
-// that it knows the fleet's secret before any frame of its is taken.
+// Kept connections between daemons, on which frames go. The accepting side
+// sends a challenge, and the connecting side proves that it knows the fleet's
+// secret before any frame of its is taken.
 //
 // A link on which something was sent but nothing came back is probed, and
 // closed if it stays silent, without waiting for its peer. What was not yet
@@ -16,6 +16,7 @@
 
 #include <jackdawhall/loop/gobject.hpp>
 #include <jackdawhall/loop/later.hpp>
+#include <jackdawhall/loop/peer_frames.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -68,16 +69,14 @@
     void collect_closed();
     void read_ready(link& l);
     void take_frames(link& l);
-    void take_frame(link& l, char kind, std::string payload);
-    void take_hello(link& l, std::string const& payload);
-    void queue(
-        link& l, char kind, std::string const& payload, std::uint64_t tag,
-        bool is_message);
+    void take_frame(link& l, peer_frame f);
+    void take_unproven(link& l, peer_frame const& f);
+    void take_hello(link& l, hello_frame const& hello);
+    void queue(link& l, peer_frame f, std::uint64_t tag);
     void flush(link& l);
     void arm(link& l, duration after);
     void tend(link& l);
     void become_ready(link& l);
-    std::string proof(std::string const& nonce, std::string const& host) const;
     link* link_to(host_name const& host);
 
     host_name self_;
--- a/packages/loop/jackdawhall/loop/timer.cpp
+++ b/packages/loop/jackdawhall/loop/timer.cpp
@@ -91,9 +91,16 @@
     arm(q);
 }
 
-timer_ptr make_timer(GSourceFunc callback, gpointer data)
+void timer::fire()
 {
-    return std::make_unique<timer>(callback, data);
+    // What is called may destroy this timer.
+    std::function<void()> const f = f_;
+    f();
+}
+
+timer_ptr make_timer(std::function<void()> f)
+{
+    return std::make_unique<timer>(std::move(f));
 }
 
 void set_timer_due(timer_ptr const& t, instant due)
--- a/packages/loop/jackdawhall/loop/timer.hpp
+++ b/packages/loop/jackdawhall/loop/timer.hpp
@@ -4,9 +4,10 @@
 // own poll each time that it is told. Not for users of the package.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <utility>
 
-#include <glib.h>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -15,8 +16,8 @@
 class timer;
 using timer_ptr = std::unique_ptr<timer>;
 
-// Calls `callback` with `data` when due. The result of the callback is unused.
-timer_ptr make_timer(GSourceFunc callback, gpointer data);
+// Calls `f` when due.
+timer_ptr make_timer(std::function<void()> f);
 
 // instant::max() unsets it.
 void set_timer_due(timer_ptr const& t, instant due);
@@ -24,20 +25,16 @@
 class timer
 {
 public:
-    timer(GSourceFunc callback, gpointer data)
-        : callback_(callback), data_(data)
-    {
-    }
+    explicit timer(std::function<void()> f) : f_(std::move(f)) {}
     ~timer();
     timer(timer const&) = delete;
     timer& operator=(timer const&) = delete;
 
     void set(instant due);
-    void fire() { callback_(data_); }
+    void fire();
 
 private:
-    GSourceFunc callback_;
-    gpointer data_;
+    std::function<void()> f_;
     instant due_ = instant::max();
 };
 
--- a/test/correctness/backend_connections.cpp
+++ b/test/correctness/backend_connections.cpp
@@ -91,14 +91,7 @@
     std::vector<std::unique_ptr<byte_stream>> streams_;
     byte_stream* late_stream_ = nullptr;
     std::string late_text_;
-    timer_ptr late_ = make_timer(
-        [](gpointer data) -> gboolean
-        {
-            scripted_server& self = *static_cast<scripted_server*>(data);
-            self.late_stream_->write(self.late_text_);
-            return G_SOURCE_CONTINUE;
-        },
-        this);
+    timer_ptr late_ = make_timer([this] { late_stream_->write(late_text_); });
 };
 
 // Sends requests one after the other, with a pause between them.
@@ -116,13 +109,7 @@
             results.size() + 1, {"127.0.0.1", port}, {"GET", "/", {}, {}},
             std::chrono::seconds(2), rules);
     };
-    pause = make_timer(
-        [](gpointer f) -> gboolean
-        {
-            (*static_cast<std::function<void()>*>(f))();
-            return G_SOURCE_CONTINUE;
-        },
-        &send);
+    pause = make_timer(send);
     client = std::make_unique<backend_client>(backend_handlers{
         [&](std::uint64_t, backend_result r)
         {
--- /dev/null
+++ b/test/support/memory_backends.cpp
@@ -0,0 +1,215 @@
+// The fake backend servers, callers and operators of the fleet in memory.
+#include "memory_fleet.hpp"
+
+namespace jackdawhall::test
+{
+
+void memory_fleet::add_backend(std::size_t host, backend_options b)
+{
+    sim_backend made;
+    made.options_ = b;
+    made.host_ = host;
+    made.address_ = {
+        "10.0.0." + std::to_string(host + 1),
+        static_cast<std::uint16_t>(9000 + backends_.size())};
+    backends_[b.id_] = made;
+    announce(b.id_);
+}
+
+void memory_fleet::announce(std::string const& id)
+{
+    auto const known = backends_.find(id);
+    if (known == backends_.end() || !known->second.up_)
+        return;
+    sim_backend const& b = known->second;
+    if (b.options_.announces_)
+    {
+        calls::announcement a;
+        a.id_ = id;
+        a.service_ = b.options_.service_;
+        a.address_ = b.address_;
+        a.slots_ = b.options_.slots_;
+        a.connections_ = 500;
+        a.state_ = b.state_;
+        give(b.host_, calls::input{a});
+    }
+    std::uint64_t const life = b.life_;
+    at(now_ + std::chrono::seconds(1),
+       [this, id, life]
+       {
+           auto const still = backends_.find(id);
+           if (still != backends_.end() && still->second.life_ == life)
+               announce(id);
+       });
+}
+
+void memory_fleet::run_on(std::size_t i, calls::run_on_backend const& r)
+{
+    auto const known = backends_.find(r.server_id_);
+    if (known == backends_.end() || !known->second.up_)
+    {
+        at(now_ + duration{50},
+           [this, i, r]
+           {
+               give(
+                   i, calls::input{
+                          calls::backend_done{r.run_, calls::not_connected{}}});
+           });
+        return;
+    }
+    sim_backend& b = known->second;
+    history_.runs_.push_back(
+        {now_, hosts_[i].name_, r.server_id_, r.request_,
+         find_header(r.request_.headers_, request_id_header)});
+    b.running_.emplace(r.run_, r.request_);
+    if (!find_header(r.request_.headers_, "fake-crash").empty())
+    {
+        at(now_ + std::chrono::milliseconds(1),
+           [this, id = r.server_id_] { crash_backend(id); });
+        return;
+    }
+    if (b.options_.fails_)
+    {
+        at(now_ + std::chrono::milliseconds(1),
+           [this, i, id = r.server_id_, run = r.run_]
+           { finish_run(i, id, run, calls::broken{}); });
+        return;
+    }
+    std::string const body = r.request_.body_;
+    auto const finish =
+        [this, i, id = r.server_id_, run = r.run_, body](std::uint16_t status)
+    {
+        finish_run(
+            i, id, run, calls::answered{answer{status, {}, "echo " + body}});
+    };
+    std::string const sleep = find_header(r.request_.headers_, "fake-sleep-ms");
+    duration const time = sleep.empty()
+                              ? b.options_.service_time_
+                              : std::chrono::milliseconds(std::stol(sleep));
+    std::string const down = b.options_.calls_;
+    if (down.empty())
+    {
+        at(now_ + time, [finish] { finish(200); });
+        return;
+    }
+    std::string const ticket = find_header(r.request_.headers_, ticket_header);
+    at(now_ + time,
+       [this, i, down, ticket, finish]
+       {
+           if (!hosts_[i].up_)
+               return;
+           request inner{"GET", down, {{ticket_header, ticket}}, {}};
+           std::uint64_t const number = ++last_request_;
+           inner_[number] = [finish](verdict const& v)
+           {
+               ran const* done = std::get_if<ran>(&v);
+               finish(done ? done->answer_.status_ : 502);
+           };
+           give(i, calls::input{calls::caller_request{number, inner}});
+       });
+}
+
+void memory_fleet::finish_run(
+    std::size_t i, std::string const& server, calls::call_number run,
+    calls::backend_outcome outcome)
+{
+    auto const known = backends_.find(server);
+    if (known == backends_.end() || known->second.running_.erase(run) == 0)
+        return;
+    give(i, calls::input{calls::backend_done{run, std::move(outcome)}});
+}
+
+void memory_fleet::crash_backend(std::string const& id)
+{
+    auto const known = backends_.find(id);
+    if (known == backends_.end() || !known->second.up_)
+        return;
+    sim_backend& b = known->second;
+    b.up_ = false;
+    ++b.life_;
+    std::map<calls::call_number, request> const lost =
+        std::exchange(b.running_, {});
+    for (auto const& run : lost)
+        give(
+            b.host_,
+            calls::input{calls::backend_done{run.first, calls::broken{}}});
+}
+
+void memory_fleet::restart_backend(
+    std::string const& id, std::string const& new_id)
+{
+    sim_backend b = backends_.at(id);
+    crash_backend(id);
+    backends_.erase(id);
+    b.options_.id_ = new_id;
+    b.up_ = true;
+    b.running_.clear();
+    ++b.life_;
+    backends_[new_id] = b;
+    announce(new_id);
+}
+
+void memory_fleet::set_backend_state(std::string const& id, server_state state)
+{
+    sim_backend& b = backends_.at(id);
+    b.state_ = state;
+    ++b.life_;
+    announce(id);
+}
+
+backend_options& memory_fleet::backend(std::string const& id)
+{
+    return backends_.at(id).options_;
+}
+
+bool memory_fleet::backend_up(std::string const& id) const
+{
+    auto const known = backends_.find(id);
+    return known != backends_.end() && known->second.up_;
+}
+
+// --- Callers and operators
+// ---------------------------------------------------------
+
+std::uint64_t memory_fleet::send_request(std::size_t host, request r)
+{
+    std::uint64_t const number = ++last_request_;
+    history_.sent_[number] = {now_, hosts_.at(host).name_, r};
+    request_host_[number] = host;
+    give(host, calls::input{calls::caller_request{number, std::move(r)}});
+    return number;
+}
+
+void memory_fleet::leave(std::uint64_t request)
+{
+    give(request_host_.at(request), calls::input{calls::caller_left{request}});
+}
+
+std::uint64_t memory_fleet::submit(std::size_t host, document d)
+{
+    std::uint64_t const number = ++last_change_;
+    history_.changes_[number] = {now_, std::nullopt, {}, std::nullopt};
+    give(
+        host, control::input{control::operator_document{number, std::move(d)}});
+    return number;
+}
+
+std::uint64_t memory_fleet::submit(std::size_t host, change c)
+{
+    std::uint64_t const number = ++last_change_;
+    history_.changes_[number] = {now_, std::nullopt, c, std::nullopt};
+    give(host, control::input{control::operator_change{number, std::move(c)}});
+    return number;
+}
+
+std::optional<verdict> memory_fleet::verdict_of(std::uint64_t request) const
+{
+    for (verdict_event const& v : history_.verdicts_)
+    {
+        if (v.request_ == request)
+            return v.verdict_;
+    }
+    return std::nullopt;
+}
+
+} // namespace jackdawhall::test
--- /dev/null
+++ b/test/support/memory_network.cpp
@@ -0,0 +1,103 @@
+// The network between the hosts of the fleet in memory.
+#include "memory_fleet.hpp"
+
+#include <algorithm>
+
+namespace jackdawhall::test
+{
+
+namespace
+{
+
+bool is_for_calls(message const& m)
+{
+    return std::holds_alternative<renewal_answer>(m) ||
+           std::holds_alternative<configuration_update>(m) ||
+           std::holds_alternative<grant_response>(m) ||
+           std::holds_alternative<claim_response>(m) ||
+           std::holds_alternative<claim_released>(m) ||
+           std::holds_alternative<outcome_request>(m) ||
+           std::holds_alternative<outcome_response>(m) ||
+           std::holds_alternative<forward>(m) ||
+           std::holds_alternative<forward_answer>(m) ||
+           std::holds_alternative<cancel_forward>(m);
+}
+
+} // namespace
+
+void memory_fleet::cut(std::size_t from, std::size_t to)
+{
+    cuts_.insert({from, to});
+}
+
+void memory_fleet::heal(std::size_t from, std::size_t to)
+{
+    cuts_.erase({from, to});
+}
+
+void memory_fleet::isolate(std::size_t i)
+{
+    for (std::size_t k = 0; k < hosts_.size(); ++k)
+    {
+        if (k != i)
+        {
+            cut(i, k);
+            cut(k, i);
+        }
+    }
+}
+
+void memory_fleet::heal_all()
+{
+    cuts_.clear();
+}
+
+void memory_fleet::transmit(std::size_t from, outgoing out)
+{
+    if (out.to_.empty())
+        return;
+    std::size_t const to = index_of(out.to_);
+    if (forward const* f = std::get_if<forward>(&out.message_))
+        note_forward(*f, from);
+    duration const spread = options_.most_delay_ - options_.least_delay_;
+    duration const delay =
+        from == to ? duration{1}
+                   : options_.least_delay_ +
+                         duration{static_cast<std::int64_t>(random_.below(
+                             static_cast<std::uint64_t>(spread.count()) + 1))};
+    // A link keeps the order of its messages.
+    duration& busy = link_busy_[{from, to}];
+    busy = std::max(busy, now_ + delay);
+    std::uint64_t const life = hosts_[to].life_;
+    if (!hosts_[to].up_)
+    {
+        at(now_ + delay, [this, from, out]
+           { give(from, calls::input{calls::undelivered{out}}); });
+        return;
+    }
+    at(busy,
+       [this, from, to, life, out]
+       {
+           if (cuts_.contains({from, to}) || hosts_[to].life_ != life)
+               return;
+           received in{hosts_[from].name_, out.message_};
+           if (is_for_calls(out.message_))
+               give(to, calls::input{std::move(in)});
+           else if (is_control(to))
+               give(to, control::input{std::move(in)});
+       });
+}
+
+void memory_fleet::note_forward(forward const& f, std::size_t from)
+{
+    ++history_.forwards_[f.context_.root_];
+    calls::state const& s = *hosts_[from].calls_;
+    auto const call = s.forwards_.find(f.number_);
+    bool const first_of_root = f.context_.depth_ == 0 &&
+                               call != s.forwards_.end() &&
+                               s.calls_.at(call->second).attempts_ == 1;
+    if (first_of_root && !f.context_.account_.empty())
+        history_.tokens_.push_back({now_, f.context_.account_});
+}
+
+} // namespace jackdawhall::test
