--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -294,50 +294,6 @@
     return w;
 }
 
-working_state begin_stop(working_state w)
-{
-    if (w.state_->stopping_since_)
-        return w;
-    w.state_->stopping_since_ = w.at_.now_;
-    w.state_->control_.renewal_due_ = w.at_.now_;
-    w.effects_.push_back(log_message{
-        "shutdown started",
-        {{"in_progress",
-          std::to_string(w.state_->calls_.size() + w.state_->runs_.size())}}});
-    return w;
-}
-
-bool has_work(state const& s)
-{
-    return !s.calls_.empty() || !s.runs_.empty();
-}
-
-// Completes the shutdown when the drain period is over, or earlier when no work
-// and no claim release is left, the accept period is over, and one renewal
-// interval has passed, within which the shutdown is announced to the control
-// hosts.
-working_state finish_stop(working_state w)
-{
-    state& s = *w.state_;
-    if (!s.stopping_since_ || s.stopped_)
-        return w;
-    shutdown_periods const& times = s.settings_.shutdown_periods_;
-    duration const since = w.at_.now_ - *s.stopping_since_;
-    bool const late = since >= times.drain_period_;
-    bool const announced =
-        since >= std::max(s.settings_.renewal_interval_, times.accept_period_);
-    if (!late && (!announced || has_work(s) || !s.pending_releases_.empty()))
-        return w;
-    s.stopped_ = true;
-    if (late && has_work(s))
-        w.effects_.push_back(log_message{
-            "shutdown time limit reached with work still in progress",
-            {{"calls", std::to_string(s.calls_.size())},
-             {"runs", std::to_string(s.runs_.size())}}});
-    w.effects_.push_back(stopped{});
-    return w;
-}
-
 working_state handle_timer_expired(working_state w)
 {
     w = expire_calls(std::move(w));
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -173,6 +173,16 @@
 working_state answer_outcome(
     working_state w, outcome_request const& r, host_name const& from);
 
+// --- Shutdown.
+
+// Begins a graceful shutdown, unless one has begun.
+working_state begin_stop(working_state w);
+// Completes the shutdown when the drain period is over, or earlier when no work
+// and no claim release is left, the accept period is over, and one renewal
+// interval has passed, within which the shutdown is announced to the control
+// hosts.
+working_state finish_stop(working_state w);
+
 // --- Helpers.
 
 // Runs the filters on the call, starting at `next_filter_`.
