A run in progress may make its calls while its daemon is being stopped

What callers saw: a request whose server was at work failed with the server's 500 when that server called on after the daemon beside it had got SIGTERM.

Cause: once the accept period is over a stopping daemon refused all calls without a ticket. On the users' infrastructure backend servers make their calls on open routes without one, also for runs that this daemon itself still waits for. The check is a filter of its own now, after the route is known.

Why this works: while a run is in progress here, calls on open routes are taken as those of the run; the stop waits for them as it waits for the run.

--- a/packages/calls/jackdawhall/calls/check_request.cpp
+++ b/packages/calls/jackdawhall/calls/check_request.cpp
@@ -74,13 +74,6 @@
 pipeline_context validate_request(pipeline_context p)
 {
     request const& r = p.call_.request_;
-    bool const stopped =
-        p.state_->stopping_since_ &&
-        p.at_.now_ >= *p.state_->stopping_since_ +
-                          p.state_->settings_.shutdown_periods_.accept_period_;
-    if (stopped && find_header(r.headers_, ticket_header).empty())
-        return refuse(
-            std::move(p), refusal_reason::stopping, std::chrono::seconds(1));
     if (p.state_->calls_.size() >= max_calls)
         return refuse(
             std::move(p), refusal_reason::overloaded, std::chrono::seconds(1));
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -21,10 +21,11 @@
 
 // Filters that a request passes at the entry, in order. A call that had to wait
 // in a filter resumes at that filter, which is then applied again.
-constexpr std::array<filter, 13> entry_filters{{
+constexpr std::array<filter, 14> entry_filters{{
     {"validate_request", validate_request},
     {"accept_ticket", accept_ticket},
     {"find_call_route", find_call_route},
+    {"check_shutdown", check_shutdown},
     {"check_configuration_freshness", check_configuration_freshness},
     {"authenticate", authenticate},
     {"set_deadline", set_deadline},
@@ -38,7 +39,7 @@
 }};
 
 // Index of the first filter of a retry.
-constexpr std::size_t retry_filter_index = 11; // choose_server
+constexpr std::size_t retry_filter_index = 12; // choose_server
 
 working_state start_call(working_state w, caller_request r)
 {
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -31,13 +31,16 @@
 // or finishes it with a verdict.
 
 // Checks the method and path, and the sizes of path, headers and body. Refuses
-// new calls when the daemon is stopping or has too many in progress.
+// new calls when the daemon has too many in progress.
 pipeline_context validate_request(pipeline_context p);
 // Inherits the context of the run that made this call, which the request's
 // ticket identifies. A call without a ticket becomes a root call.
 pipeline_context accept_ticket(pipeline_context p);
 // Finds the route, which gives the service and the rank of the call.
 pipeline_context find_call_route(pipeline_context p);
+// Refuses new calls once the accept period of a shutdown is over, but not those
+// that runs in progress on this host may have made.
+pipeline_context check_shutdown(pipeline_context p);
 // Refuses root calls on routes that need an API key while the daemon holds no
 // valid freshness lease on its configuration.
 pipeline_context check_configuration_freshness(pipeline_context p);
--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -1,4 +1,5 @@
-// Graceful shutdown of a call node: its begin, and when its work is done.
+// Graceful shutdown of a call node: its begin, which calls it still takes, and
+// when its work is done.
 #include <jackdawhall/calls/pipeline_context.hpp>
 
 #include <algorithm>
@@ -9,6 +10,21 @@
 namespace
 {
 
+constexpr duration stopping_retry_after = std::chrono::seconds(1);
+
+bool accepts_new_calls(state const& s, instant now)
+{
+    return !s.stopping_since_ ||
+           now < *s.stopping_since_ +
+                     s.settings_.shutdown_periods_.accept_period_;
+}
+
+// Backend servers make the calls of a run with its ticket, or on open routes.
+bool may_be_nested(state const& s, entry_call const& c)
+{
+    return c.parent_ || (c.open_ && !s.runs_.empty());
+}
+
 bool has_work(state const& s)
 {
     return !s.calls_.empty() || !s.runs_.empty() ||
@@ -43,6 +59,14 @@
 
 } // namespace
 
+pipeline_context check_shutdown(pipeline_context p)
+{
+    if (accepts_new_calls(*p.state_, p.at_.now_) ||
+        may_be_nested(*p.state_, p.call_))
+        return p;
+    return refuse(std::move(p), refusal_reason::stopping, stopping_retry_after);
+}
+
 working_state begin_stop(working_state w)
 {
     if (w.state_->stopping_since_)
--- a/test/correctness/stop_gives_up_nothing.cpp
+++ b/test/correctness/stop_gives_up_nothing.cpp
@@ -58,6 +58,47 @@
     return sent;
 }
 
+std::pair<record_key, record_body> open_route(std::string const& service)
+{
+    route_v2 r;
+    r.virtual_host_ = "a.example";
+    r.path_prefix_ = "/" + service + "/";
+    r.services_ = {{service_name::make(service).value(), 1}};
+    r.open_ = true;
+    r.timeout_ms_ = 5000;
+    return {{"route", r.virtual_host_ + r.path_prefix_, 2}, r};
+}
+
+// Open routes to services "outer" and "inner", whose servers make calls without
+// a ticket. Each has a server on every host.
+void set_up_open_routes(memory_fleet& fleet)
+{
+    wait_until_ready(fleet, 5);
+    document d;
+    d.version_ = 1;
+    d.digest_ = "digest";
+    for (std::string const service : {"outer", "inner"})
+    {
+        d.contents_.push_back({{"service", service, 2}, service_v2{}});
+        d.contents_.push_back(open_route(service));
+        for (std::size_t host = 0; host < 5; ++host)
+        {
+            backend_options b;
+            b.id_ = service + std::to_string(host);
+            b.service_ = service_name::make(service).value();
+            fleet.add_backend(host, b);
+        }
+    }
+    fleet.submit(fleet.leader().value(), d);
+    fleet.run_for(8s);
+}
+
+request open_request(std::string const& path, std::string const& sleep_ms)
+{
+    return {
+        "GET", path, {{"host", "a.example"}, {"fake-sleep-ms", sleep_ms}}, {}};
+}
+
 std::size_t count_given_up(
     memory_fleet const& fleet, std::vector<std::uint64_t> const& sent)
 {
@@ -87,3 +128,26 @@
         CHECK(count_given_up(fleet, sent) == 0);
     }
 }
+
+// The call was refused, so that the run failed at which its server was at work.
+TEST_CASE("a run in progress may make its calls until the stop is complete")
+{
+    memory_fleet fleet(options_with_grace(6));
+    set_up_open_routes(fleet);
+    std::size_t const entry = 1; // in the same region
+    std::vector<std::uint64_t> outer;
+    for (int i = 0; i < 10; ++i)
+        outer.push_back(
+            fleet.send_request(entry, open_request("/outer/x", "4500")));
+    fleet.run_for(50ms);
+    REQUIRE_FALSE(fleet.calls_of(stopping_host).runs_.empty());
+    fleet.request_stop(stopping_host);
+    fleet.run_for(4s);
+    REQUIRE_FALSE(fleet.stopped(stopping_host));
+    std::uint64_t const inner =
+        fleet.send_request(stopping_host, open_request("/inner/x", "10"));
+    fleet.run_for(1s);
+    CHECK(std::holds_alternative<ran>(fleet.verdict_of(inner).value()));
+    for (std::uint64_t const n : outer)
+        CHECK(std::holds_alternative<ran>(fleet.verdict_of(n).value()));
+}
