Answer the calls that outlast the grace time of a stop

What callers saw: a connection that ended without an answer when the daemon's grace time was over, also for requests that had not been sent to any server.

Cause: at the end of the drain period the call node gave its work up without a verdict, so that the process ended with its callers waiting.

Evidence: the new test failed before (no verdict for a call in progress).

Why this works: a call that has not been forwarded is refused as not run, which is true and may be sent again elsewhere; one that has been may have run.

--- a/packages/calls/jackdawhall/calls/helpers.cpp
+++ b/packages/calls/jackdawhall/calls/helpers.cpp
@@ -20,6 +20,11 @@
     return p;
 }
 
+bool possibly_ran(entry_call const& c)
+{
+    return c.forward_.has_value() || c.outcome_request_.has_value();
+}
+
 host_name leader_host(state const& s)
 {
     if (!s.control_.leader_.empty() || s.control_.hosts_.empty())
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -117,13 +117,9 @@
     return handle_forward_response(std::move(w), std::move(a));
 }
 
-// Returns the verdict of a call whose deadline has passed. The request may have
-// run if it was forwarded, or if another run of it holds the claim.
 verdict deadline_verdict(entry_call const& c)
 {
-    bool const possibly_ran =
-        c.forward_.has_value() || c.outcome_request_.has_value();
-    if (possibly_ran)
+    if (possibly_ran(c))
         return may_have_run{indeterminate_reason::deadline_passed};
     return not_run{refusal_reason::deadline_passed};
 }
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -199,6 +199,10 @@
 pipeline_context
 finish_as_indeterminate(pipeline_context p, indeterminate_reason reason);
 
+// Whether a call in progress may have run: it was forwarded, or another run of
+// the request holds its claim.
+bool possibly_ran(entry_call const& c);
+
 // Returns the Host header of a request, in lower case and without the port.
 std::string virtual_host_of(request const& r);
 
--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -31,17 +31,39 @@
            !s.pending_releases_.empty();
 }
 
-void log_calls_given_up(working_state& w)
+verdict verdict_when_given_up(entry_call const& c)
 {
-    for (auto const& [number, call] : w.state_->calls_)
-        w.effects_.push_back(log_message{
-            "call given up at the end of the drain period",
-            {{"request", call.context_.root_},
-             {"service", call.service_.str()},
-             {"server",
-              call.forward_ ? call.forward_->server_.id_ : std::string{}},
-             {"took_ms", milliseconds_text(w.at_.now_ - call.created_at_)},
-             {"left_ms", milliseconds_text(call.deadline_ - w.at_.now_)}}});
+    if (possibly_ran(c))
+        return may_have_run{indeterminate_reason::cancelled};
+    return not_run{refusal_reason::stopping, stopping_retry_after};
+}
+
+void log_given_up(working_state& w, entry_call const& c)
+{
+    w.effects_.push_back(log_message{
+        "call given up at the end of the drain period",
+        {{"request", c.context_.root_},
+         {"service", c.service_.str()},
+         {"server", c.forward_ ? c.forward_->server_.id_ : std::string{}},
+         {"took_ms", milliseconds_text(w.at_.now_ - c.created_at_)},
+         {"left_ms", milliseconds_text(c.deadline_ - w.at_.now_)}}});
+}
+
+working_state give_up_calls(working_state w)
+{
+    while (!w.state_->calls_.empty())
+    {
+        state& s = *w.state_;
+        entry_call c = std::move(s.calls_.begin()->second);
+        cancel_timer(s, c);
+        s.calls_.erase(s.calls_.begin());
+        if (c.forward_)
+            s.call_of_forward_.erase(c.forward_->number_);
+        log_given_up(w, c);
+        verdict v = verdict_when_given_up(c);
+        w = finish_call(std::move(w), std::move(c), std::move(v));
+    }
+    return w;
 }
 
 void log_runs_given_up(working_state& w)
@@ -98,8 +120,8 @@
         {{"calls", std::to_string(s.calls_.size())},
          {"runs", std::to_string(s.runs_.size())},
          {"after_ms", milliseconds_text(since)}}});
-    log_calls_given_up(w);
     log_runs_given_up(w);
+    w = give_up_calls(std::move(w));
     w.effects_.push_back(stopped{});
     return w;
 }
--- a/test/correctness/stop_gives_up_nothing.cpp
+++ b/test/correctness/stop_gives_up_nothing.cpp
@@ -151,3 +151,21 @@
     for (std::uint64_t const n : outer)
         CHECK(std::holds_alternative<ran>(fleet.verdict_of(n).value()));
 }
+
+// They ended with the process, without an answer.
+TEST_CASE("callers are answered when the grace time is over")
+{
+    fleet_options o;
+    o.shutdown_periods_ = {1s, 2s};
+    memory_fleet fleet(o);
+    set_up_slow_service(fleet);
+    request const slow = with_header(
+        request_with_key("GET", "/plans", "acme"), "fake-sleep-ms", "5000");
+    std::uint64_t const forwarded = fleet.send_request(stopping_host, slow);
+    fleet.run_for(50ms);
+    fleet.request_stop(stopping_host);
+    fleet.run_for(2100ms);
+    REQUIRE(fleet.stopped(stopping_host));
+    CHECK(std::holds_alternative<may_have_run>(
+        fleet.verdict_of(forwarded).value()));
+}
