Bound the JSON that others send before it is parsed

Seen: one configuration or one announcement with arrays in arrays ended the process that read it; a ping of megabytes took its memory.

Cause: nlohmann copies and writes a value by one recursive call a level. document_from() writes the whole document for its digest, and parse_announcement() copies 'calls', so that a field of some hundred thousand levels overflows the stack. Parsing takes some hundred bytes for a value of one byte, and the orders' server takes bodies of 64 MiB for whole configurations, so a ping of that size did not fit a host of 256 MB. The refusal repeated the odd text in full.

Now wire::parse_json() measures the text first, without recursion and without memory, and refuses more than 64 levels or 1048576 values. The infrastructure's calls, the product's own announce call and operators' changes all go through it. The announce call's parser is now a module, so that a test can reach it.

--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -1,8 +1,7 @@
 // The HTTP sides of the daemon: callers, announcements and operators.
 #include <jackdawhall/daemon/daemon.hpp>
 
-#include <charconv>
-
+#include <jackdawhall/daemon/announcement.hpp>
 #include <jackdawhall/daemon/http_answer.hpp>
 
 namespace jackdawhall::daemon
@@ -32,77 +31,7 @@
 answer error_answer(
     std::uint16_t status, std::string const& what, std::string const& mend)
 {
-    return json_answer(
-        status, json{{"what", what}, {"mend", mend}}.dump() + "\n");
-}
-
-std::optional<endpoint> parse_endpoint(std::string const& text)
-{
-    std::size_t const colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    std::uint16_t port = 0;
-    auto const end = text.data() + text.size();
-    auto const [stop, error] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    if (error != std::errc{} || stop != end || port == 0)
-        return std::nullopt;
-    return endpoint{text.substr(0, colon), port};
-}
-
-std::optional<server_state> parse_state(std::string const& text)
-{
-    for (server_state const state :
-         {server_state::warming, server_state::ready, server_state::draining})
-    {
-        if (to_text(state) == text)
-            return state;
-    }
-    return std::nullopt;
-}
-
-std::uint32_t bounded(json const& value, std::uint32_t most)
-{
-    if (!value.is_number_unsigned() || value.get<std::uint64_t>() < 1 ||
-        value.get<std::uint64_t>() > most)
-        throw json::other_error::create(
-            501, "a count is no whole number from 1 to " + std::to_string(most),
-            nullptr);
-    return value.get<std::uint32_t>();
-}
-
-service_name service_from(json const& value)
-{
-    std::string text = value.get<std::string>();
-    if (!is_name(text))
-        throw json::other_error::create(
-            501, "a service is not a name", nullptr);
-    return service_name::make(std::move(text)).value();
-}
-
-// Throws json::exception.
-calls::announcement parse_announcement(std::string const& body)
-{
-    json const given = json::parse(body);
-    calls::announcement a;
-    a.id_ = given.at("id").get<std::string>();
-    if (!is_name(a.id_))
-        throw json::other_error::create(501, "the id is not a name", nullptr);
-    a.service_ = service_from(given.at("service"));
-    std::optional<endpoint> const address =
-        parse_endpoint(given.at("address").get<std::string>());
-    std::optional<server_state> const state =
-        parse_state(given.value("state", "ready"));
-    if (!address || !state)
-        throw json::other_error::create(
-            501, "address or state is not valid", nullptr);
-    a.address_ = *address;
-    a.state_ = *state;
-    a.slots_ = bounded(given.at("slots"), 100000);
-    a.connections_ = bounded(given.at("connections"), 1000000);
-    for (json const& called : given.value("calls", json::array()))
-        a.calls_.push_back(service_from(called));
-    return a;
+    return json_answer(status, json{{"what", what}, {"mend", mend}}.dump() + "\n");
 }
 
 template <class Reason>
@@ -260,7 +189,7 @@
     leaf::try_handle_all(
         [&]() -> leaf::result<void>
         {
-            json const given = json::parse(r.body_, nullptr, false);
+            BOOST_LEAF_AUTO(given, wire::try_parse_json(r.body_));
             BOOST_LEAF_AUTO(c, wire::change_from_json(given));
             say(severity::info, part::operators, "change received",
                 {{"operation", c.operation_id_}, {"author", c.author_}});
--- a/packages/wire/jackdawhall/wire.hpp
+++ b/packages/wire/jackdawhall/wire.hpp
@@ -4,3 +4,4 @@
 
 #include <jackdawhall/wire/codec.hpp>
 #include <jackdawhall/wire/json.hpp>
+#include <jackdawhall/wire/parse_json.hpp>
--- a/test/failure/hostile_input.cpp
+++ b/test/failure/hostile_input.cpp
@@ -28,6 +28,29 @@
     return bytes;
 }
 
+// Announcements that are cut or nested.
+std::string bad_announcement(random_source& random)
+{
+    static std::string const levels(100000, '[');
+    std::string body;
+    switch (random.below(3))
+    {
+    case 0:
+        body = "{\"id\":";
+        break;
+    case 1:
+        body = R"({"id":"odd-1","service":"plans","address":"10.0.0.9:80",)"
+               R"("slots":1,"connections":1,"calls":)" +
+               levels + std::string(levels.size(), ']') + "}";
+        break;
+    default:
+        body = levels;
+    }
+    return "POST /.jackdawhall/announce HTTP/1.1\r\nHost: a\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string bad_http(random_source& random)
 {
     static std::string const good =
@@ -46,8 +69,7 @@
     case 4:
         return "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
     case 5:
-        return "POST /.jackdawhall/announce HTTP/1.1\r\nHost: a\r\n"
-               "Content-Length: 6\r\n\r\n{\"id\":";
+        return bad_announcement(random);
     default:
     {
         std::string changed = good;
