A refusal answers bytes that are no UTF-8 too

Seen: an announcement of one byte 0xff ended the daemon.

Cause: the reason of the refusal quotes the bytes, and nlohmann's dump() of the answer throws on bytes that are no UTF-8, within the handler of the first exception. By reading, not by a run: an id of such bytes in the list of servers did the same to each control node whose operator asked for /v1/status.

All JSON answers of the daemon's HTTP sides now go through json_text(), which replaces such bytes, as the log and the platform's answers do already.

--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -28,10 +28,16 @@
         v);
 }
 
+// Texts from outside may be no UTF-8, on which a plain dump() throws.
+std::string json_text(json const& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
 answer error_answer(
     std::uint16_t status, std::string const& what, std::string const& mend)
 {
-    return json_answer(status, json{{"what", what}, {"mend", mend}}.dump() + "\n");
+    return json_answer(status, json_text(json{{"what", what}, {"mend", mend}}));
 }
 
 template <class Reason>
@@ -220,17 +226,17 @@
         return {
             200, {{"content-type", "text/plain; version=0.0.4"}}, metrics()};
     if (path == "/v1/status")
-        return json_answer(200, status().dump() + "\n");
+        return json_answer(200, json_text(status()));
     if (path == "/v1/counters")
-        return json_answer(200, counters().dump() + "\n");
+        return json_answer(200, json_text(counters()));
     if (path == "/v1/records")
-        return json_answer(200, records("").dump() + "\n");
+        return json_answer(200, json_text(records("")));
     if (path == "/v1/history" && control_)
     {
         json list = json::array();
         for (history_entry const& past : control_->machine_.history_)
             list.push_back(wire::to_json(past));
-        return json_answer(200, list.dump() + "\n");
+        return json_answer(200, json_text(list));
     }
     return error_answer(404, "no such page", "see docs/OPERATING.md");
 }
--- a/test/failure/hostile_input.cpp
+++ b/test/failure/hostile_input.cpp
@@ -28,17 +28,20 @@
     return bytes;
 }
 
-// Announcements that are cut or nested.
+// Announcements that are cut, nested or no UTF-8.
 std::string bad_announcement(random_source& random)
 {
     static std::string const levels(100000, '[');
     std::string body;
-    switch (random.below(3))
+    switch (random.below(4))
     {
     case 0:
         body = "{\"id\":";
         break;
     case 1:
+        body = "\xff";
+        break;
+    case 2:
         body = R"({"id":"odd-1","service":"plans","address":"10.0.0.9:80",)"
                R"("slots":1,"connections":1,"calls":)" +
                levels + std::string(levels.size(), ']') + "}";
