An announcement whose address or id can't be used is refused

Seen: a ping with the address host:8080 or 10.0.0.256:8080 was taken. The daemon, by reading, announced the server to all and sent its calls to itself.

Cause: the part before the colon was not read. inet_pton() of a text that is no IPv4 address leaves 0.0.0.0, which is this host. An id could be empty, of any length and of any bytes; it gets into logs, lists and JSON answers. Ports of 0, over 65535, negative or missing were refused already.

What is refused changes nothing.

--- a/packages/daemon/jackdawhall/daemon/announcement.cpp
+++ b/packages/daemon/jackdawhall/daemon/announcement.cpp
@@ -1,7 +1,5 @@
 #include <jackdawhall/daemon/announcement.hpp>
 
-#include <charconv>
-
 #include <jackdawhall/wire.hpp>
 
 namespace jackdawhall::daemon
@@ -12,20 +10,6 @@
 
 using wire::json;
 
-std::optional<endpoint> parse_endpoint(std::string const& text)
-{
-    std::size_t const colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    std::uint16_t port = 0;
-    auto const end = text.data() + text.size();
-    auto const [stop, error] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    if (error != std::errc{} || stop != end || port == 0)
-        return std::nullopt;
-    return endpoint{text.substr(0, colon), port};
-}
-
 std::optional<server_state> parse_state(std::string const& text)
 {
     for (server_state const state :
@@ -67,7 +51,7 @@
         throw json::other_error::create(501, "the id is not a name", nullptr);
     a.service_ = service_from(given.at("service"));
     std::optional<endpoint> const address =
-        parse_endpoint(given.at("address").get<std::string>());
+        parse_target(given.at("address").get<std::string>());
     std::optional<server_state> const state =
         parse_state(given.value("state", "ready"));
     if (!address || !state)
@@ -75,8 +59,8 @@
             501, "address or state is not valid", nullptr);
     a.address_ = *address;
     a.state_ = *state;
-    a.slots_ = bounded(given.at("slots"), 100000);
-    a.connections_ = bounded(given.at("connections"), 1000000);
+    a.slots_ = bounded(given.at("slots"), max_slots);
+    a.connections_ = bounded(given.at("connections"), max_server_connections);
     for (json const& called : given.value("calls", json::array()))
         a.calls_.push_back(service_from(called));
     return a;
--- a/packages/model/jackdawhall/model/server.hpp
+++ b/packages/model/jackdawhall/model/server.hpp
@@ -4,7 +4,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include <jackdawhall/model/name.hpp>
 
@@ -29,6 +31,10 @@
     auto operator<=>(endpoint const&) const = default;
 };
 
+// Reads an address that can be connected to, such as 10.0.0.7:7070: a dotted
+// IPv4 address other than 0.0.0.0, and a port from 1 to 65535.
+std::optional<endpoint> parse_target(std::string_view text);
+
 // Region and availability zone of a host.
 struct location
 {
@@ -51,4 +57,15 @@
     auto operator<=>(backend_server const&) const = default;
 };
 
+inline constexpr std::size_t max_server_id_bytes = 128;
+
+// Whether `id` is 1 to 128 printable ASCII characters without spaces, so that
+// it can stand in logs and in JSON.
+bool is_server_id(std::string_view id);
+
+// Upper bounds of what a backend server may announce. The gate's queue and the
+// entries' loads are worked out from them.
+inline constexpr std::uint32_t max_slots = 100000;
+inline constexpr std::uint32_t max_server_connections = 1000000;
+
 } // namespace jackdawhall
--- a/test/error/announcements.cpp
+++ b/test/error/announcements.cpp
@@ -64,3 +64,14 @@
         CHECK(refuses("connections", number));
     }
 }
+
+TEST_CASE("an announced address that is no IPv4 address is refused")
+{
+    for (char const* address :
+         {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:80x", "host:80", ":80",
+          "10.0.0.256:80", "0.0.0.0:80", "[::1]:80", ""})
+    {
+        INFO(address);
+        CHECK(refuses("address", address));
+    }
+}
