One odd backend server does not cost a daemon the rest of its list

Seen: if one entry of a list of servers had an unknown state, a number out of range or no name of a service, the receiver dropped the whole message: with it the lease and the configuration of a renewal, again at each renewal.

Cause: the codec threw at the odd value. These values are read to their end before they are checked, so that the rest can still be read.

Now such a value ends its struct as odd_value; a list of backend servers leaves the odd one out, and everything else is refused as before. Nested unknown fields were suspected to overflow the stack in skip(): Thrift refuses them, and a test now holds that.

--- a/packages/model/jackdawhall/model/server.cpp
+++ b/packages/model/jackdawhall/model/server.cpp
@@ -44,4 +44,11 @@
                id.begin(), id.end(), [](char c) { return c > ' ' && c < 127; });
 }
 
+bool is_within_bounds(backend_server const& server)
+{
+    return is_server_id(server.id_) && server.slots_ >= 1 &&
+           server.slots_ <= max_slots &&
+           server.connections_ <= max_server_connections;
+}
+
 } // namespace jackdawhall
--- a/packages/model/jackdawhall/model/server.hpp
+++ b/packages/model/jackdawhall/model/server.hpp
@@ -68,4 +68,7 @@
 inline constexpr std::uint32_t max_slots = 100000;
 inline constexpr std::uint32_t max_server_connections = 1000000;
 
+// Whether id, slots and connections are within these bounds.
+bool is_within_bounds(backend_server const& server);
+
 } // namespace jackdawhall
--- a/packages/wire/jackdawhall/wire/codec.cpp
+++ b/packages/wire/jackdawhall/wire/codec.cpp
@@ -27,7 +27,7 @@
     return buffer->getBufferAsString();
 }
 
-// Throws malformed_bytes or TException.
+// Throws malformed_bytes, odd_value or TException.
 template <class T>
 T from_bytes(std::string const& bytes)
 {
@@ -64,6 +64,10 @@
     {
         return refuse(e.what_);
     }
+    catch (odd_value const& e)
+    {
+        return refuse(e.what_);
+    }
     catch (TException const& e)
     {
         return refuse(e.what());
--- a/packages/wire/jackdawhall/wire/protocol.hpp
+++ b/packages/wire/jackdawhall/wire/protocol.hpp
@@ -26,6 +26,13 @@
     char const* what_;
 };
 
+// A value was read to its end, but is not one of its type: what follows it can
+// still be read.
+struct odd_value
+{
+    char const* what_;
+};
+
 template <class T>
 struct is_vector : std::false_type
 {
@@ -149,6 +156,7 @@
 void read_struct(TProtocol& in, Fields fields)
 {
     std::string ignored;
+    std::optional<odd_value> odd;
     in.readStructBegin(ignored);
     for (;;)
     {
@@ -157,11 +165,20 @@
         in.readFieldBegin(ignored, type, id);
         if (type == apache::thrift::protocol::T_STOP)
             break;
-        if (!read_field(in, id, type, fields))
-            in.skip(type);
+        try
+        {
+            if (!read_field(in, id, type, fields))
+                in.skip(type);
+        }
+        catch (odd_value const& e)
+        {
+            odd = e;
+        }
         in.readFieldEnd();
     }
     in.readStructEnd();
+    if (odd)
+        throw *odd;
 }
 
 template <class Variant, std::size_t Index = 0>
@@ -172,7 +189,14 @@
         if (index != Index)
             return read_alternative<Variant, Index + 1>(in, index, v);
         std::variant_alternative_t<Index, Variant> alternative{};
-        read(in, alternative);
+        try
+        {
+            read(in, alternative);
+        }
+        catch (odd_value const& e)
+        {
+            throw malformed_bytes{e.what_}; // the union is not at its end
+        }
         v = std::move(alternative);
     }
     else
@@ -199,22 +223,35 @@
     in.readStructEnd();
 }
 
+// An odd backend server is left out of its list, so that one daemon's odd entry
+// does not cost a receiver the others.
 template <class Vector>
 void read_list(TProtocol& in, Vector& v)
 {
+    using element_type = typename Vector::value_type;
+    std::optional<odd_value> odd;
     TType type{};
     std::uint32_t size = 0;
     in.readListBegin(type, size);
-    if (size != 0 && type != type_of<typename Vector::value_type>())
+    if (size != 0 && type != type_of<element_type>())
         throw malformed_bytes{"list of another type"};
     v.clear();
     for (std::uint32_t i = 0; i < size; ++i)
     {
-        typename Vector::value_type element{};
-        read(in, element);
-        v.push_back(std::move(element));
+        try
+        {
+            element_type element{};
+            read(in, element);
+            v.push_back(std::move(element));
+        }
+        catch (odd_value const& e)
+        {
+            odd = e;
+        }
     }
     in.readListEnd();
+    if (odd && !std::is_same_v<element_type, backend_server>)
+        throw *odd;
 }
 
 template <class Vector>
@@ -234,7 +271,7 @@
     if constexpr (std::is_enum_v<T>)
     {
         if (wide < 0 || wide > static_cast<std::int64_t>(T::last_))
-            throw malformed_bytes{"enumerator out of range"};
+            throw odd_value{"enumerator out of range"};
         return static_cast<T>(wide);
     }
     else
@@ -242,7 +279,7 @@
         if constexpr (sizeof(T) < sizeof wide)
         {
             if (!std::in_range<T>(wide))
-                throw malformed_bytes{"number out of range"};
+                throw odd_value{"number out of range"};
         }
         return static_cast<T>(wide);
     }
@@ -317,7 +354,7 @@
     }
     leaf::result<T> made = T::make(std::move(text));
     if (!made)
-        throw malformed_bytes{"not a name"};
+        throw odd_value{"not a name"};
     v = std::move(made.value());
 }
 
@@ -375,6 +412,12 @@
         if (!body.empty())
             v.body_ = read_body(v.key_, body.front());
     }
+    else if constexpr (std::is_same_v<T, backend_server>)
+    {
+        read_struct(in, fields_of(v));
+        if (!is_within_bounds(v))
+            throw odd_value{"a backend server out of bounds"};
+    }
     else
         read_struct(in, fields_of(v));
 }
--- a/test/error/codec.cpp
+++ b/test/error/codec.cpp
@@ -119,3 +119,60 @@
     bytes[at] = 'H';
     CHECK_FALSE(wire::decode_message(bytes));
 }
+
+TEST_CASE("one odd backend server does not cost the others of its list")
+{
+    backend_server good;
+    good.host_ = host;
+    good.service_ = name_literal<service_name>("plans");
+    good.id_ = "i-1";
+    backend_server odd = good;
+    SECTION("unknown state")
+    {
+        odd.state_ = static_cast<server_state>(9);
+    }
+    SECTION("no slots")
+    {
+        odd.slots_ = 0;
+    }
+    SECTION("slots out of range")
+    {
+        odd.slots_ = 4000000000;
+    }
+    SECTION("an id that is no text")
+    {
+        odd.id_ = "\xff\n";
+    }
+    SECTION("no name of a service")
+    {
+        odd.service_ = name_literal<service_name>("odd-service");
+    }
+    renewal_response answer;
+    answer.stamp_ = 7;
+    answer.services_ = {{good.service_, {good, odd, good}}};
+    answer.daemons_ = 3;
+    std::string bytes = wire::encode(message{answer});
+    std::size_t const at = bytes.find("odd-service");
+    if (at != std::string::npos)
+        bytes[at] = 'O';
+    leaf::result<message> back = wire::decode_message(bytes);
+    REQUIRE(back);
+    answer.services_ = {{good.service_, {good, good}}};
+    CHECK(back.value() == message{answer});
+}
+
+TEST_CASE("an odd value outside a list of backend servers is still refused")
+{
+    forward_response a;
+    a.verdict_ = not_run{static_cast<refusal_reason>(200)};
+    CHECK_FALSE(wire::decode_message(wire::encode(message{a})));
+}
+
+TEST_CASE("deeply nested unknown fields are refused")
+{
+    // A union's first alternative, a field 15 that it does not have, and
+    // structs in structs.
+    std::string const bytes =
+        "\x1c\xfc" + std::string(std::size_t{1} << 20, '\x1c');
+    CHECK_FALSE(wire::decode_message(bytes));
+}
