Take a refusal only as the answer to the very send it belongs to

Callers could be told "not run, try again" for a request that its server was running, or it ran at a second server: a faulty server wrote an earlier refusal once more on a kept connection, and it was taken for the answer to the request sent there next.

Cause: an answer was matched by the echoed id alone, and one without the id was taken as the run's own. A request that was refused may go to the same server again, over the connection with the refusal; a copy of the first refusal then has the right id. A copy without an id fitted every request.

Now a connection remembers the requests that were not answered with a success on it, and does not carry them again: the repeat goes over another connection, where a copy of the first refusal cannot come. On a kept connection an answer without the id, where servers repeat it, leaves the run in doubt; it is taken only on a connection that has carried nothing else. Copies with the id of another request are passed over as before. Refused connections stay in use for other requests, so that bursts of refusals cost no connections, except one for each 64 requests that failed on it.

Seen beside it, same place: an answer to another request that ended with its connection left the run waiting for its whole time. It is lost at once.

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -1,9 +1,9 @@
 #include <jackdawhall/loop/backend_client.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
+#include <jackdawhall/loop/backend_answer.hpp>
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/http_message.hpp>
@@ -21,23 +21,12 @@
 // How long a connection is kept whose server names no time.
 constexpr duration default_keep = std::chrono::seconds(4);
 constexpr std::uint32_t max_answer_header_bytes = 64 << 10;
-// Status codes of HTTP; anything else is no answer.
-constexpr std::uint16_t least_status = 100;
-constexpr std::uint16_t most_status = 599;
+// A connection with more requests than this to remember is not kept.
+constexpr std::size_t max_failed_kept = 64;
 
-// Seconds of "timeout=N" in a Keep-Alive field.
-std::optional<duration> keep_alive_time(std::string const& field)
+std::size_t hash_of(answer_rules const& rules)
 {
-    std::size_t const at = field.find("timeout=");
-    if (at == std::string::npos)
-        return std::nullopt;
-    char const* const first = field.data() + at + 8;
-    std::uint32_t seconds = 0;
-    auto const [stop, error] =
-        std::from_chars(first, field.data() + field.size(), seconds);
-    if (error != std::errc{})
-        return std::nullopt;
-    return std::chrono::seconds(seconds);
+    return std::hash<std::string>{}(rules.echoed_value_);
 }
 
 } // namespace
@@ -53,7 +42,10 @@
     std::string text_; // of the request
     answer_rules rules_;
     std::optional<response_parser> parser_;
+    bool first_run_ = true;     // of this connection
     bool foreign_seen_ = false; // an answer to another request came
+    // Hashes of the ids of requests that were answered without success here.
+    std::vector<std::size_t> failed_;
     instant kept_until_;
     timer_ptr timer_;
     source_ptr connecting_;
@@ -87,13 +79,14 @@
     std::uint64_t run, endpoint const& to, request const& r, duration timeout,
     answer_rules const& rules)
 {
-    connection* kept = take_kept(to);
+    connection* kept = take_kept(to, hash_of(rules));
     connection& c = kept ? *kept : connect_to(to);
     c.run_ = run;
     c.method_ = r.method_;
     c.text_ = to_text(r, to);
     c.rules_ = rules;
     c.sent_ = c.foreign_seen_ = false;
+    c.first_run_ = !kept;
     runs_.insert_or_assign(run, &c);
     if (c.connecting_fd_ < 0 && !c.stream_)
         return finish(c, backend_not_connected{});
@@ -106,15 +99,27 @@
         send(c);
 }
 
-backend_client::connection* backend_client::take_kept(endpoint const& to)
+// Says whether a copy of an earlier refusal could pass for the answer to the
+// request with this id.
+bool backend_client::has_failed(connection const& c, std::size_t id_hash)
+{
+    return std::find(c.failed_.begin(), c.failed_.end(), id_hash) !=
+           c.failed_.end();
+}
+
+backend_client::connection*
+backend_client::take_kept(endpoint const& to, std::size_t id_hash)
 {
     std::vector<connection*>& kept = kept_[to];
     instant const now = read_clocks().now_;
-    while (!kept.empty())
+    for (std::size_t at = kept.size(); at-- > 0;)
     {
-        connection* c = kept.back();
-        kept.pop_back();
-        if (now < c->kept_until_ && !c->stream_->has_unread())
+        connection* c = kept.at(at);
+        bool const usable = now < c->kept_until_ && !c->stream_->has_unread();
+        if (usable && has_failed(*c, id_hash))
+            continue;
+        kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(at));
+        if (usable)
             return c;
         drop(*c);
     }
@@ -185,44 +190,41 @@
     if (!c.run_)
         return drop(c); // bytes on an idle connection belong to no request
     std::string& in = c.stream_->input();
-    if (boost::beast::error_code const error = feed(*c.parser_, in))
-        return finish(
-            c, backend_broken{
-                   error == http::error::body_limit
-                       ? indeterminate_reason::answer_too_large
-                       : indeterminate_reason::answer_incomplete});
-    if (c.parser_->is_done())
-        take_answer(c);
+    do
+    {
+        if (boost::beast::error_code const error = feed(*c.parser_, in))
+            return finish_broken(c, reason_of(error));
+        if (!c.parser_->is_done() || take_answer(c))
+            return;
+    } while (!in.empty());
 }
 
-void backend_client::take_answer(connection& c)
+// Returns false if the answer to the run must still follow.
+bool backend_client::take_answer(connection& c)
 {
     response_parser::value_type message = c.parser_->release();
     answer a;
     a.status_ = static_cast<std::uint16_t>(message.result_int());
     a.headers_ = headers_of(message.base());
     a.body_ = std::move(message.body());
-    if (a.status_ < least_status || a.status_ > most_status)
-        return finish(
-            c, backend_broken{indeterminate_reason::answer_incomplete});
-    bool const informs = a.status_ < 200;
-    bool const foreign =
-        !informs && !c.rules_.echoed_name_.empty() &&
-        !find_header(a.headers_, c.rules_.echoed_name_).empty() &&
-        find_header(a.headers_, c.rules_.echoed_name_) !=
-            c.rules_.echoed_value_;
-    if (informs || foreign)
+    owner const whose = owner_of(a, c.rules_, c.first_run_ && !c.foreign_seen_);
+    if (whose == owner::other)
     {
-        // The answer to this run follows it on the same connection.
-        c.foreign_seen_ = c.foreign_seen_ || foreign;
-        begin_answer(c);
-        if (!c.stream_->input().empty())
-            take_bytes(c);
-        return;
+        c.foreign_seen_ = c.foreign_seen_ || a.status_ >= 200;
+        begin_answer(c); // the answer to this run follows it
+        return false;
     }
+    if (whose == owner::unknown)
+    {
+        finish_broken(c, indeterminate_reason::answer_incomplete);
+        return true;
+    }
+    if (!is_success(a) && !c.rules_.echoed_name_.empty())
+        c.failed_.push_back(hash_of(c.rules_));
     bool const whole_request = c.stream_->all_written();
     bool const reusable = message.keep_alive() && whole_request &&
-                          !c.foreign_seen_ && c.stream_->input().empty();
+                          !c.foreign_seen_ && c.stream_->input().empty() &&
+                          c.failed_.size() <= max_failed_kept;
     duration const longest =
         keep_alive_time(find_header(a.headers_, "keep-alive"))
             .value_or(default_keep);
@@ -233,6 +235,7 @@
     else
         drop(c);
     handlers_.done_(run, backend_answered{std::move(a)});
+    return true;
 }
 
 void backend_client::take_end(connection& c, bool clean)
@@ -245,14 +248,14 @@
         // An answer without a length ends with its connection.
         boost::beast::error_code error;
         c.parser_->put_eof(error);
-        if (!error && c.parser_->is_done())
-            return take_answer(c);
+        bool const whole = !error && c.parser_->is_done();
+        if (whole && take_answer(c))
+            return;
     }
     bool const began = c.parser_->got_some();
-    finish(
-        c, backend_broken{
-               began ? indeterminate_reason::answer_incomplete
-                     : indeterminate_reason::connection_lost});
+    finish_broken(
+        c, began ? indeterminate_reason::answer_incomplete
+                 : indeterminate_reason::connection_lost);
 }
 
 void backend_client::keep(connection& c, duration longest)
@@ -268,7 +271,7 @@
         return drop(c);
     if (!c.sent_)
         return finish(c, backend_not_connected{});
-    finish(c, backend_broken{indeterminate_reason::deadline_passed});
+    finish_broken(c, indeterminate_reason::deadline_passed);
 }
 
 void backend_client::cancel(std::uint64_t run)
@@ -278,11 +281,16 @@
         return;
     connection& c = *known->second;
     if (c.sent_)
-        finish(c, backend_broken{indeterminate_reason::cancelled});
+        finish_broken(c, indeterminate_reason::cancelled);
     else
         finish(c, backend_not_connected{false});
 }
 
+void backend_client::finish_broken(connection& c, indeterminate_reason reason)
+{
+    finish(c, backend_broken{reason});
+}
+
 void backend_client::finish(connection& c, backend_result result)
 {
     std::uint64_t const run = *std::exchange(c.run_, std::nullopt);
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -4,6 +4,11 @@
 // Connections are kept and used again one run at a time, for as long as the
 // server allows. An answer whose length does not fit, that a reset cut short,
 // or that belongs to another request is never passed on.
+//
+// A refusal is passed on only if it answers this very send: a connection that
+// has carried a request which was not answered with a success never carries
+// that request again, and on a kept connection an answer must repeat the
+// request's id where servers do so.
 #pragma once
 
 #include <cstdint>
@@ -81,12 +86,14 @@
     struct connection;
     struct probe_in_progress;
 
-    connection* take_kept(endpoint const& to);
+    static bool has_failed(connection const& c, std::size_t id_hash);
+    connection* take_kept(endpoint const& to, std::size_t id_hash);
     connection& connect_to(endpoint const& to);
     void send(connection& c);
     void begin_answer(connection& c);
     void take_bytes(connection& c);
-    void take_answer(connection& c);
+    bool take_answer(connection& c);
+    void finish_broken(connection& c, indeterminate_reason reason);
     void take_end(connection& c, bool clean);
     void keep(connection& c, duration longest);
     void time_out(connection& c);
