Bound bytes of servers and callers that never end

A server in trouble that wrote without end kept its run, and memory, until the time limit: informational answers, answers with another request's id, the size line of a chunk, its extension, or a trailer. Callers could do the same to the daemon with chunks and trailers, and there each part gave the request its time again, so nothing ended it.

Now feed() counts the bytes of a message and ends one whose header, unfinished line or framing for each byte of its body is too long. A run passes over 16 answers or 8 MiB of them, in a loop. All answers that are coming in hold 32 MiB together; beyond it the largest is given up. In each case the verdict is "may have run", and the connection is closed. Requests are answered with 431.

--- a/packages/loop/jackdawhall/loop/backend_answer.cpp
+++ b/packages/loop/jackdawhall/loop/backend_answer.cpp
@@ -39,7 +39,7 @@
 
 indeterminate_reason reason_of(boost::beast::error_code const& error)
 {
-    if (error == http::error::body_limit)
+    if (error == http::error::body_limit || error == http::error::header_limit)
         return indeterminate_reason::answer_too_large;
     return indeterminate_reason::answer_incomplete;
 }
--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -42,6 +42,10 @@
     std::string text_; // of the request
     answer_rules rules_;
     std::optional<response_parser> parser_;
+    std::size_t taken_ = 0;       // bytes of the answer in progress
+    std::size_t held_ = 0;        // those of them that are kept
+    std::size_t other_bytes_ = 0; // of answers that were passed over
+    std::uint32_t other_answers_ = 0;
     bool first_run_ = true;     // of this connection
     bool foreign_seen_ = false; // an answer to another request came
     // Hashes of the ids of requests that were answered without success here.
@@ -87,6 +91,8 @@
     c.rules_ = rules;
     c.sent_ = c.foreign_seen_ = false;
     c.first_run_ = !kept;
+    c.other_answers_ = 0;
+    c.other_bytes_ = 0;
     runs_.insert_or_assign(run, &c);
     if (c.connecting_fd_ < 0 && !c.stream_)
         return finish(c, backend_not_connected{});
@@ -169,6 +175,7 @@
 
 void backend_client::begin_answer(connection& c)
 {
+    c.taken_ = 0;
     c.parser_.emplace();
     c.parser_->eager(true);
     c.parser_->header_limit(max_answer_header_bytes);
@@ -192,11 +199,16 @@
     std::string& in = c.stream_->input();
     do
     {
-        if (boost::beast::error_code const error = feed(*c.parser_, in))
+        boost::beast::error_code const error =
+            feed(*c.parser_, in, c.taken_, max_answer_header_bytes);
+        if (error)
             return finish_broken(c, reason_of(error));
-        if (!c.parser_->is_done() || take_answer(c))
+        if (!c.parser_->is_done())
+            break;
+        if (take_answer(c))
             return;
     } while (!in.empty());
+    hold(c);
 }
 
 // Returns false if the answer to the run must still follow.
@@ -211,8 +223,8 @@
     if (whose == owner::other)
     {
         c.foreign_seen_ = c.foreign_seen_ || a.status_ >= 200;
-        begin_answer(c); // the answer to this run follows it
-        return false;
+        pass_over(c);
+        return !c.run_;
     }
     if (whose == owner::unknown)
     {
@@ -230,6 +242,7 @@
             .value_or(default_keep);
     std::uint64_t const run = *std::exchange(c.run_, std::nullopt);
     runs_.erase(run);
+    release(c);
     if (reusable && longest > keep_margin)
         keep(c, longest - keep_margin);
     else
@@ -238,6 +251,36 @@
     return true;
 }
 
+// The answer to this run follows on the same connection.
+void backend_client::pass_over(connection& c)
+{
+    c.other_bytes_ += c.taken_;
+    ++c.other_answers_;
+    if (c.other_answers_ > max_other_answers ||
+        c.other_bytes_ > max_answer_bytes)
+        return finish_broken(c, indeterminate_reason::answer_too_large);
+    begin_answer(c);
+}
+
+void backend_client::hold(connection& c)
+{
+    release(c);
+    c.held_ = c.parser_->get().body().size() + c.stream_->input().size();
+    held_ += c.held_;
+    if (held_ <= max_held_bytes)
+        return;
+    auto const largest = std::max_element(
+        runs_.begin(), runs_.end(),
+        [](auto const& a, auto const& b)
+        { return a.second->held_ < b.second->held_; });
+    finish_broken(*largest->second, indeterminate_reason::answer_too_large);
+}
+
+void backend_client::release(connection& c)
+{
+    held_ -= std::exchange(c.held_, 0);
+}
+
 void backend_client::take_end(connection& c, bool clean)
 {
     if (!c.run_)
@@ -305,6 +348,7 @@
     if (known == connections_.end())
         return;
     std::erase(kept_[c.to_], &c);
+    release(c);
     c.connecting_.reset();
     c.timer_.reset();
     close_fd(std::exchange(c.connecting_fd_, -1));
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -47,6 +47,10 @@
 };
 
 inline constexpr std::size_t max_answer_bytes = 8 << 20;
+// Of all answers in progress; beyond it the largest is given up.
+inline constexpr std::size_t max_held_bytes = 32 << 20;
+// Answers to other requests, and informational ones, before a run's own.
+inline constexpr std::uint32_t max_other_answers = 16;
 
 // How the answers of a server are told apart and known to be whole.
 struct answer_rules
@@ -93,6 +97,9 @@
     void begin_answer(connection& c);
     void take_bytes(connection& c);
     bool take_answer(connection& c);
+    void pass_over(connection& c);
+    void hold(connection& c);
+    void release(connection& c);
     void finish_broken(connection& c, indeterminate_reason reason);
     void take_end(connection& c, bool clean);
     void keep(connection& c, duration longest);
@@ -105,6 +112,7 @@
     backend_handlers handlers_;
     std::map<connection*, std::unique_ptr<connection>> connections_;
     std::map<std::uint64_t, connection*> runs_;
+    std::size_t held_ = 0; // bytes of all answers in progress
     // Idle connections; the one used last is at the end.
     std::map<endpoint, std::vector<connection*>> kept_;
     std::map<probe_in_progress*, std::unique_ptr<probe_in_progress>> probes_;
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -52,6 +52,7 @@
     std::string remote_;
     phase phase_ = phase::reading;
     std::optional<request_parser> parser_;
+    std::size_t taken_ = 0;  // bytes of the request
     bool began_ = false;     // the first byte of a request is there
     bool continued_ = false; // 100 Continue was sent
     std::uint64_t number_ = 0;
@@ -134,6 +135,7 @@
     c.phase_ = phase::reading;
     c.number_ = 0;
     c.began_ = c.continued_ = false;
+    c.taken_ = 0;
     c.parser_.emplace();
     c.parser_->eager(true);
     c.parser_->header_limit(limits_.header_bytes_);
@@ -160,11 +162,10 @@
         c.began_ = true;
         arm(c, limits_.header_time_);
     }
-    boost::beast::error_code const error = feed(*c.parser_, in);
+    boost::beast::error_code const error =
+        feed(*c.parser_, in, c.taken_, limits_.header_bytes_);
     if (error)
         return refuse(c, status_of(error));
-    if (in.size() > limits_.header_bytes_ && !c.parser_->is_header_done())
-        return refuse(c, 431);
     if (c.parser_->is_done())
         return take_request(c);
     if (!c.parser_->is_header_done())
