--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -4,6 +4,11 @@
 // Connections are kept and used again one run at a time, for as long as the
 // server allows. An answer whose length does not fit, that a reset cut short,
 // or that belongs to another request is never passed on.
+//
+// A refusal is passed on only if it answers this very send: a connection that
+// has carried a request which was not answered with a success never carries
+// that request again, and on a kept connection an answer must repeat the
+// request's id where servers do so.
 #pragma once
 
 #include <cstdint>
@@ -42,6 +47,10 @@
 };
 
 inline constexpr std::size_t max_answer_bytes = 8 << 20;
+// Of all answers in progress; beyond it the largest is given up.
+inline constexpr std::size_t max_held_bytes = 32 << 20;
+// Answers to other requests, and informational ones, before a run's own.
+inline constexpr std::uint32_t max_other_answers = 16;
 
 // How the answers of a server are told apart and known to be whole.
 struct answer_rules
@@ -81,12 +90,17 @@
     struct connection;
     struct probe_in_progress;
 
-    connection* take_kept(endpoint const& to);
+    static bool has_failed(connection const& c, std::size_t id_hash);
+    connection* take_kept(endpoint const& to, std::size_t id_hash);
     connection& connect_to(endpoint const& to);
     void send(connection& c);
     void begin_answer(connection& c);
     void take_bytes(connection& c);
-    void take_answer(connection& c);
+    bool take_answer(connection& c);
+    void pass_over(connection& c);
+    void hold(connection& c);
+    void release(connection& c);
+    void finish_broken(connection& c, indeterminate_reason reason);
     void take_end(connection& c, bool clean);
     void keep(connection& c, duration longest);
     void time_out(connection& c);
@@ -98,6 +112,7 @@
     backend_handlers handlers_;
     std::map<connection*, std::unique_ptr<connection>> connections_;
     std::map<std::uint64_t, connection*> runs_;
+    std::size_t held_ = 0; // bytes of all answers in progress
     // Idle connections; the one used last is at the end.
     std::map<endpoint, std::vector<connection*>> kept_;
     std::map<probe_in_progress*, std::unique_ptr<probe_in_progress>> probes_;
