Match the answer to a change with the request itself

An operator's change was acknowledged although another one had won: two changes on the same version both got 200, and the second was never in force.

A control host forwarded a change to the leader under the number that its front end had given it, and took the leader's answer by this number alone. Front ends count from the start of their process, so a host that restarted while a commit waited gave the same number again, and the answer to the change of its earlier process went to the change of the next one.

A forwarded request now gets a number of its own, which counts from the incarnation of the control host and so is of one process only, and the answer names the operation. Both must match. Requests of one operation that come twice are told apart by their numbers, over changes of leader too.

Builds side by side: the operation is a new field at the end of the response, which an older build skips. The answer of an older leader has none and is matched by the number, which no other process has given. A host of an older build keeps the fault until it is replaced, whoever leads.

The hosts of the test fleet now number changes as the daemon does, from 1 in each process; before, the numbers were unique in the fleet and hid the fault.

--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -46,6 +46,7 @@
     s.membership_.peer_hosts_ = settings.control_hosts_;
     std::erase(s.membership_.peer_hosts_, settings.self_);
     s.membership_.incarnation_ = random.next();
+    s.last_forward_ = s.membership_.incarnation_;
     s.membership_.version_ = 1 + (random.next() >> 8);
     s.membership_.report_due_ = now;
     s.machine_ = from_snapshot(disk.snapshot_);
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -51,8 +52,10 @@
 struct operation_waiter
 {
     std::optional<host_name> host_;
-    std::uint64_t number_ = 0;
+    std::uint64_t number_ = 0; // given by the requester
     instant since_;
+    // Number under which this host forwarded the request to the leader.
+    std::optional<std::uint64_t> forwarded_ = std::nullopt;
     auto operator<=>(operation_waiter const&) const = default;
 };
 
@@ -75,7 +78,11 @@
     grant_allocator allocator_;
     rate_tolerance tolerance_;
     std::multimap<std::string, operation_waiter> waiters_; // by operation id
-    std::map<std::string, crash_count> crashes_;           // by fingerprint
+    // Number of the last request forwarded to a leader. It starts at the
+    // incarnation, so that a response to an earlier run of this host, which the
+    // leader may send late, matches no request of this one.
+    std::uint64_t last_forward_ = 0;
+    std::map<std::string, crash_count> crashes_; // by fingerprint
     auto operator<=>(state const&) const = default;
 };
 
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -7,23 +7,23 @@
 {
 
 void send_outcome(
-    pipeline_context& p, operation_waiter const& to,
-    change_outcome const& outcome)
+    pipeline_context& p, std::string const& operation,
+    operation_waiter const& to, change_outcome const& outcome)
 {
     if (to.host_)
         p.effects_.push_back(
-            send{{*to.host_, change_response{to.number_, outcome}}});
+            send{{*to.host_, change_response{to.number_, outcome, operation}}});
     else
         p.effects_.push_back(answer_operator{to.number_, outcome});
 }
 
 // Proposes a command if this host leads, else forwards the request of its own
-// operator to the leader. Stores the waiter under the operation id. A request
-// that another host forwarded is not forwarded again.
+// operator to the leader under a number of its own. Stores the waiter under the
+// operation id. A request that another host forwarded is not forwarded again.
 template <class Command, class Request>
 void propose_or_forward(
-    pipeline_context& p, operation_waiter const& from,
-    std::string const& operation, Command command, Request request)
+    pipeline_context& p, operation_waiter from, std::string const& operation,
+    Command command, Request request)
 {
     state& s = p.state_;
     std::optional<host_name> const leader = leader_of(s.consensus_);
@@ -34,13 +34,16 @@
     }
     else if (leader && !from.host_)
     {
+        request.number_ = ++s.last_forward_;
+        from.forwarded_ = request.number_;
         s.waiters_.emplace(operation, from);
         p.effects_.push_back(send{{*leader, std::move(request)}});
     }
     else
     {
         send_outcome(
-            p, from, unknown_outcome{"no leader among the control hosts"});
+            p, operation, from,
+            unknown_outcome{"no leader among the control hosts"});
     }
 }
 
@@ -49,20 +52,28 @@
 {
     propose_or_forward(
         p, from, wanted.operation_id_, change_command{wanted, p.at_.wall_},
-        change_request{
-            from.number_, p.state_.consensus_.settings_.self_, wanted});
+        change_request{0, p.state_.consensus_.settings_.self_, wanted});
 }
 
 void handle_document(
     pipeline_context& p, operation_waiter const& from, document const& wanted)
 {
+    std::string const operation = document_operation_id(wanted);
     if (std::optional<rejected> const wrong = check_document(wanted))
-        return send_outcome(p, from, *wrong);
+        return send_outcome(p, operation, from, *wrong);
     propose_or_forward(
-        p, from, document_operation_id(wanted),
-        document_command{wanted, p.at_.wall_},
-        document_request{
-            from.number_, p.state_.consensus_.settings_.self_, wanted});
+        p, from, operation, document_command{wanted, p.at_.wall_},
+        document_request{0, p.state_.consensus_.settings_.self_, wanted});
+}
+
+// True if `r` responds to the very request that was forwarded for a waiter of
+// `operation`.
+bool is_response_to(
+    std::string const& operation, operation_waiter const& waiter,
+    change_response const& r)
+{
+    return waiter.forwarded_ == r.number_ &&
+           (r.operation_.empty() || r.operation_ == operation);
 }
 
 // Handles the leader's response to a change or document that this host
@@ -72,9 +83,9 @@
     std::multimap<std::string, operation_waiter>& waiters = p.state_.waiters_;
     for (auto found = waiters.begin(); found != waiters.end(); ++found)
     {
-        if (found->second.host_ || found->second.number_ != r.number_)
+        if (!is_response_to(found->first, found->second, r))
             continue;
-        send_outcome(p, found->second, r.outcome_);
+        send_outcome(p, found->first, found->second, r.outcome_);
         waiters.erase(found);
         return;
     }
@@ -91,7 +102,7 @@
             continue;
         }
         send_outcome(
-            p, found->second,
+            p, found->first, found->second,
             unknown_outcome{"no majority of control hosts answered in time"});
         found = waiters.erase(found);
     }
@@ -256,7 +267,7 @@
         {
             auto const range = p.state_.waiters_.equal_range(c->operation_id_);
             for (auto found = range.first; found != range.second; ++found)
-                send_outcome(p, found->second, c->outcome_);
+                send_outcome(p, found->first, found->second, c->outcome_);
             p.state_.waiters_.erase(range.first, range.second);
         }
         if (claim_response const* c = std::get_if<claim_response>(&outcome))
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -417,6 +417,8 @@
 {
     std::uint64_t number_ = 0;
     change_outcome outcome_;
+    std::string operation_; // id of the operation that has this outcome;
+                            // empty: sent by a build that does not name it
     auto operator<=>(change_response const&) const = default;
 };
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -206,7 +206,8 @@
     change_request, &change_request::number_, &change_request::requester_,
     &change_request::change_)
 JACKDAWHALL_FIELDS(
-    change_response, &change_response::number_, &change_response::outcome_)
+    change_response, &change_response::number_, &change_response::outcome_,
+    &change_response::operation_)
 
 JACKDAWHALL_FIELDS(
     document_request, &document_request::number_, &document_request::requester_,
--- a/test/error/codec.cpp
+++ b/test/error/codec.cpp
@@ -62,7 +62,7 @@
             9, name_literal<service_name>("plans"), "s", context, "f", r},
         a,
         forward_response{9, not_run{refusal_reason::overloaded, duration{5}}},
-        change_response{1, conflict{{"account", "acme", 1}, 7}}};
+        change_response{1, conflict{{"account", "acme", 1}, 7}, "operation"}};
 }
 
 } // namespace
--- a/test/support/memory_backends.cpp
+++ b/test/support/memory_backends.cpp
@@ -188,22 +188,31 @@
         calls::input{calls::caller_disconnected{request}});
 }
 
+std::uint64_t
+memory_fleet::number_change(std::size_t host, std::uint64_t submitted)
+{
+    hosts_[host].changes_.push_back(submitted);
+    return hosts_[host].changes_.size();
+}
+
 std::uint64_t memory_fleet::submit(std::size_t host, document d)
 {
-    std::uint64_t const number = ++last_change_;
-    history_.changes_[number] = {now_, std::nullopt, {}, std::nullopt};
+    std::uint64_t const submitted = ++last_change_;
+    history_.changes_[submitted] = {now_, std::nullopt, {}, std::nullopt};
     deliver(
-        host, control::input{control::operator_document{number, std::move(d)}});
-    return number;
+        host, control::input{control::operator_document{
+                  number_change(host, submitted), std::move(d)}});
+    return submitted;
 }
 
 std::uint64_t memory_fleet::submit(std::size_t host, change c)
 {
-    std::uint64_t const number = ++last_change_;
-    history_.changes_[number] = {now_, std::nullopt, c, std::nullopt};
+    std::uint64_t const submitted = ++last_change_;
+    history_.changes_[submitted] = {now_, std::nullopt, c, std::nullopt};
     deliver(
-        host, control::input{control::operator_change{number, std::move(c)}});
-    return number;
+        host, control::input{control::operator_change{
+                  number_change(host, submitted), std::move(c)}});
+    return submitted;
 }
 
 std::optional<verdict> memory_fleet::verdict_of(std::uint64_t request) const
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -192,6 +192,7 @@
     h.control_.reset();
     h.deferred_effects_.clear();
     h.deferred_inputs_.clear();
+    h.changes_.clear();
     // Unsynced stores may have reached the disk in part: apply a random prefix.
     std::size_t const kept =
         h.unsynced_.empty() ? 0 : random_.below(h.unsynced_.size() + 1);
@@ -410,7 +411,8 @@
             [&](send& s) { transmit(i, std::move(s.outgoing_)); },
             [&](control::answer_operator& a)
             {
-                change_event& c = history_.changes_.at(a.number_);
+                change_event& c =
+                    history_.changes_.at(h.changes_.at(a.number_ - 1));
                 c.answered_at_ = now_;
                 c.outcome_ = a.outcome_;
             },
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -149,6 +149,7 @@
     // --- Callers and operators
     std::uint64_t send_request(std::size_t host, request r);
     void disconnect_caller(std::uint64_t request);
+    // Both return the index into the history's changes_.
     std::uint64_t submit(std::size_t host, change c);
     std::uint64_t submit(std::size_t host, document d);
     std::optional<verdict> verdict_of(std::uint64_t request) const;
@@ -188,6 +189,8 @@
         std::deque<node_input> deferred_inputs_;
         duration timer_due_{-1};
         revision newest_revision_ = 0;
+        // Changes submitted to this process, which numbers them from 1.
+        std::vector<std::uint64_t> changes_;
     };
     struct sim_backend
     {
@@ -230,6 +233,7 @@
         std::size_t i, std::string const& server, calls::call_number run,
         calls::backend_outcome outcome);
     void announce(std::string const& id);
+    std::uint64_t number_change(std::size_t host, std::uint64_t submitted);
     void record_reversion(std::size_t i);
 
     fleet_options options_;
