Count the idle time of a connection from the last byte written

A caller that read an answer for longer than the idle time got its beginning only: the connection was closed in the middle of the answer, though its bytes moved.

The cause: the HTTP server began to wait for the next request, and armed the idle timer, as soon as an answer was handed to the stream. The last answer of a connection was looked at once a second, and its writing side was not ended when the last byte had gone.

An answer now has a phase of its own that ends when the stream reports that all is written; only then does the idle time begin, or the writing side end.

--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -30,6 +30,7 @@
 {
     reading,   // a request, or waiting for one
     answering, // a request is in progress
+    writing,   // its answer is being written
     lingering  // the last answer was written
 };
 
@@ -57,6 +58,7 @@
     std::uint64_t number_ = 0;
     std::string method_;
     bool keep_alive_ = true;
+    bool last_ = false; // no request follows the answer
     timer_ptr timer_;
     std::unique_ptr<byte_stream> stream_;
 };
@@ -118,7 +120,7 @@
             stream_handlers{
                 [&c] { c.owner_->take_bytes(c); },
                 [&c](stream_end) { c.owner_->take_end(c); },
-                {}});
+                [&c] { c.owner_->answer_written(c); }});
         c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
         begin_request(c);
     }
@@ -149,7 +151,7 @@
     std::string& in = c.stream_->input();
     if (c.phase_ == phase::lingering)
         return in.clear();
-    if (c.phase_ == phase::answering)
+    if (c.phase_ == phase::answering || c.phase_ == phase::writing)
     {
         if (in.size() > max_early_bytes)
             c.stream_->read_more(false);
@@ -214,10 +216,18 @@
 void http_server::respond(
     connection& c, jackdawhall::answer const& a, bool last)
 {
+    c.phase_ = phase::writing;
+    c.last_ = last;
+    // How long the caller may take nothing is the stream's concern.
+    set_timer_due(c.timer_, instant::max());
     c.stream_->write(to_text(a, c.method_, last));
-    if (!c.stream_->is_open())
-        return;
-    if (last)
+}
+
+void http_server::answer_written(connection& c)
+{
+    if (c.phase_ != phase::writing)
+        return; // 100 Continue
+    if (c.last_)
         linger(c);
     else
         begin_request(c);
@@ -228,8 +238,7 @@
     c.phase_ = phase::lingering;
     c.stream_->input().clear();
     c.stream_->read_more(true);
-    if (c.stream_->all_written())
-        c.stream_->finish_writing();
+    c.stream_->finish_writing();
     arm(c, linger_time);
 }
 
@@ -248,8 +257,6 @@
     bool const slow = c.phase_ == phase::reading && c.began_;
     if (slow)
         return refuse(c, 408);
-    if (c.phase_ == phase::lingering && !c.stream_->all_written())
-        return arm(c, linger_time);
     close(c);
 }
 
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -22,7 +22,8 @@
     std::uint32_t header_bytes_ = 16 << 10;
     std::uint64_t body_bytes_ = 1 << 20;
     duration header_time_ = std::chrono::seconds(10); // first to last byte
-    duration idle_time_ = std::chrono::seconds(60);   // between two requests
+    // From the last byte of an answer to the first one of the next request.
+    duration idle_time_ = std::chrono::seconds(60);
     auto operator<=>(http_limits const&) const = default;
 };
 
@@ -71,6 +72,7 @@
     void take_end(connection& c);
     void refuse(connection& c, std::uint16_t status);
     void respond(connection& c, jackdawhall::answer const& a, bool last);
+    void answer_written(connection& c);
     void begin_request(connection& c);
     void linger(connection& c);
     void close(connection& c);
