Let a caller pause for up to 30 s while it reads an answer

A caller that took nothing for 3 s in the middle of an answer lost the rest of it, though it was alive.

The cause: TCP_USER_TIMEOUT of 3 s on all sockets. The kernel applies it to a full window too: a peer that acknowledges each probe but opens no window is reset after that time.

Accepted connections of callers now have a bound of their own, 30 s without progress, counted by the kernel from the last byte taken. Peers and backend servers keep 3 s, since a hang there must be found quickly.

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -220,7 +220,7 @@
             take_bytes(c);
         return;
     }
-    bool const whole_request = c.stream_->all_written();
+    bool const whole_request = c.stream_->unwritten() == 0;
     bool const reusable = message.keep_alive() && whole_request &&
                           !c.foreign_seen_ && c.stream_->input().empty();
     duration const longest =
--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -10,8 +10,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <jackdawhall/loop/socket_options.hpp>
-
 namespace jackdawhall::loop
 {
 
@@ -97,10 +95,10 @@
     return source;
 }
 
-byte_stream::byte_stream(int fd, stream_handlers handlers)
+byte_stream::byte_stream(int fd, stream_handlers handlers, duration stall_time)
     : fd_(fd), handlers_(std::move(handlers))
 {
-    set_socket_options(fd_);
+    set_socket_options(fd_, stall_time);
     read_more(true);
 }
 
--- a/packages/loop/jackdawhall/loop/byte_stream.hpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -8,6 +8,7 @@
 
 #include <glib-unix.h>
 #include <jackdawhall/loop/gobject.hpp>
+#include <jackdawhall/loop/socket_options.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -46,8 +47,11 @@
 class byte_stream
 {
 public:
-    // Takes the descriptor of a connected socket over.
-    byte_stream(int fd, stream_handlers handlers);
+    // Takes the descriptor of a connected socket over. A peer that takes
+    // nothing of what is sent for `stall_time` breaks the stream.
+    byte_stream(
+        int fd, stream_handlers handlers,
+        duration stall_time = peer_stall_time);
     ~byte_stream();
     byte_stream(byte_stream const&) = delete;
     byte_stream& operator=(byte_stream const&) = delete;
@@ -56,7 +60,7 @@
     std::string& input() { return in_; }
 
     void write(std::string const& bytes);
-    bool all_written() const { return out_.empty(); }
+    std::size_t unwritten() const { return out_.size(); }
 
     // Stops and starts taking bytes in, so that a peer cannot fill memory.
     void read_more(bool wanted);
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -120,7 +120,8 @@
             stream_handlers{
                 [&c] { c.owner_->take_bytes(c); },
                 [&c](stream_end) { c.owner_->take_end(c); },
-                [&c] { c.owner_->answer_written(c); }});
+                [&c] { c.owner_->answer_written(c); }},
+            caller_stall_time);
         c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
         begin_request(c);
     }
--- a/packages/loop/jackdawhall/loop/socket_options.cpp
+++ b/packages/loop/jackdawhall/loop/socket_options.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr int unacknowledged_ms = 3000;
 constexpr int idle_s = 5;
 constexpr int probe_interval_s = 1;
 constexpr int probes = 3;
@@ -22,11 +21,13 @@
 
 } // namespace
 
-void set_socket_options(int fd)
+void set_socket_options(int fd, duration stall_time)
 {
+    std::chrono::milliseconds const stall =
+        std::chrono::duration_cast<std::chrono::milliseconds>(stall_time);
     set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(stall.count()));
     set(fd, IPPROTO_TCP, TCP_KEEPIDLE, idle_s);
     set(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
     set(fd, IPPROTO_TCP, TCP_KEEPCNT, probes);
--- a/test/correctness/slow_readers.cpp
+++ b/test/correctness/slow_readers.cpp
@@ -120,3 +120,8 @@
 {
     check_whole({duration{0}, 10 * ms, 64 << 10, false}, 500 * ms);
 }
+
+TEST_CASE("a caller that takes nothing for some seconds still gets its answer")
+{
+    check_whole({6000 * ms, 1 * ms, 256 << 10, true}, 60000 * ms);
+}
