Deliver what was answered before a daemon ends

After a SIGTERM a caller that read its answer late got a part of it, and a daemon whose forward was answered by the stopped gate reported that the request may have run.

The cause: when no call and no run was left, the daemon quit its loop at once. Bytes that the streams to callers and the links to peers still held were dropped. The effect `stopped` came when an answer was handed over, not when it was written.

The daemon now goes through an order of shutdown: no connection is accepted and those open finish; peers confirm all frames; links are closed; exit. Phases are a value, decided by functions of what is open and the time (daemon/shutdown.hpp); each step is taken when something was written or closed, and one timer bounds it by the end of the drain period, which `stopped` carries. The line `shutdown complete` says how long it took and what could not be delivered.

--- a/bench/fake_backend.cpp
+++ b/bench/fake_backend.cpp
@@ -3,8 +3,8 @@
 // and prints one line for each request that it runs.
 //
 // A request's headers steer it: "fake-crash: 1" ends the process at once,
-// "fake-truncate: 1" states a longer body than it sends, and
-// "fake-sleep-ms: N" replaces the service time.
+// "fake-truncate: 1" states a longer body than it sends, "fake-sleep-ms: N"
+// replaces the service time, and "fake-body-bytes: N" makes the answer longer.
 #include <cstdlib>
 #include <deque>
 #include <iostream>
@@ -186,6 +186,9 @@
         jd::answer a{200, {{"content-type", "text/plain"}}, {}};
         a.body_ = FLAGS_service + " answered " + r.method_ + " " + r.path_ +
                   " " + r.body_ + "\n";
+        std::string const more = jd::find_header(r.headers_, "fake-body-bytes");
+        if (!more.empty())
+            a.body_.append(std::strtoul(more.c_str(), nullptr, 10), 'a');
         if (FLAGS_echo_headers)
         {
             for (jd::header const& field : r.headers_)
--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -167,9 +167,11 @@
     endpoint address_;
     auto operator<=>(probe_server const&) const = default;
 };
-// The shutdown begun by stop_requested is complete.
+// The work that stop_requested found is finished or given up. What was
+// answered must be delivered by the end of the drain period.
 struct stopped
 {
+    instant drained_by_;
     auto operator<=>(stopped const&) const = default;
 };
 
--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -76,7 +76,7 @@
          {"after_ms", milliseconds_text(since)}}});
     log_calls_given_up(w);
     log_runs_given_up(w);
-    w.effects_.push_back(stopped{});
+    w.effects_.push_back(stopped{*s.stopping_since_ + times.drain_period_});
     return w;
 }
 
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -79,6 +79,7 @@
     };
     peers.note_ = [this](std::string const& text)
     { say(severity::info, part::peers, text); };
+    peers.settled_ = [this] { go_on_with_shutdown(); };
     links_ = std::make_unique<loop::peer_links>(
         settings_.host_, settings_.peers_, settings_.fleet_secret_, peers);
     for (settings::control_host const& host : settings_.control_hosts_)
@@ -105,14 +106,7 @@
     BOOST_LEAF_CHECK(operators_->listen("listen.operators"));
     if (settings_.control_)
         BOOST_LEAF_CHECK(start_control());
-    loop_.on_stop_signal(
-        [this]
-        {
-            say(severity::info, part::daemon, "stop signal received");
-            give(calls::input{calls::stop_requested{}});
-            if (!settings_.call_)
-                loop_.quit();
-        });
+    loop_.on_stop_signal([this] { take_stop_signal(); });
     loop_.on_reload_signal([this] { reload(); });
     return {};
 }
@@ -381,10 +375,12 @@
                 stage_latency_.at(static_cast<std::size_t>(t.stage_))
                     .add(t.time_);
             },
-            [&](calls::stopped&)
+            [&](calls::stopped& s)
             {
-                stopped_ = true;
-                loop_.quit();
+                shutdown_ = finish_calls(shutdown_, s.drained_by_);
+                // The effects that follow come first.
+                shutdown_timer_.set(
+                    duration{0}, [this] { enter_shutdown_phase(); });
             },
         },
         e);
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -15,6 +15,7 @@
 #include <jackdawhall/daemon/control_disk.hpp>
 #include <jackdawhall/daemon/log.hpp>
 #include <jackdawhall/daemon/metrics.hpp>
+#include <jackdawhall/daemon/shutdown.hpp>
 #include <jackdawhall/loop.hpp>
 #include <jackdawhall/platform.hpp>
 #include <jackdawhall/settings.hpp>
@@ -114,6 +115,16 @@
     // here and begins again from the disk, as after a restart.
     void fail_disk(std::string const& what);
     void restart_control();
+    // Answers all changes and documents in progress: their outcome is unknown.
+    void fail_pending_changes(std::string const& why);
+
+    // Shutdown.
+    void take_stop_signal();
+    void go_on_with_shutdown();
+    void enter_shutdown_phase();
+    void end_shutdown();
+    open_work count_open_work() const;
+    std::vector<loop::http_server*> answering_servers() const;
 
     settings::daemon_settings settings_;
     loop::event_loop loop_;
@@ -151,7 +162,8 @@
     std::array<latency, static_cast<std::size_t>(calls::stage::last_) + 1>
         stage_latency_;
     latency sync_latency_;
-    bool stopped_ = false;
+    shutdown_state shutdown_;
+    loop::event_loop::delayed shutdown_timer_;
 };
 
 } // namespace jackdawhall::daemon
--- a/packages/daemon/jackdawhall/daemon/daemon_control.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_control.cpp
@@ -141,17 +141,7 @@
     held_.clear();
     last_store_ = synced_store_ = 0;
     syncing_ = false;
-    for (auto const& waiting : order_documents_)
-        orders_->answer(
-            waiting.second,
-            platform::to_operator(unknown_outcome{"the disk failed"}));
-    order_documents_.clear();
-    for (std::uint64_t const number : std::exchange(operator_changes_, {}))
-        operators_->answer(
-            number,
-            json_answer(
-                200, wire::to_json(unknown_outcome{"the disk failed"}).dump() +
-                         "\n"));
+    fail_pending_changes("the disk failed");
     restart_.set(disk_retry, [this] { restart_control(); });
 }
 
--- /dev/null
+++ b/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
@@ -0,0 +1,111 @@
+// The daemon's side of a shutdown: carries out what the order of shutdown says,
+// and goes on whenever something was written or closed.
+#include <jackdawhall/daemon/daemon.hpp>
+
+#include <jackdawhall/daemon/http_answer.hpp>
+
+namespace jackdawhall::daemon
+{
+
+std::vector<loop::http_server*> daemon::answering_servers() const
+{
+    std::vector<loop::http_server*> servers;
+    for (loop::http_server* s :
+         {callers_.get(), operators_.get(), orders_.get()})
+    {
+        if (s)
+            servers.push_back(s);
+    }
+    return servers;
+}
+
+open_work daemon::count_open_work() const
+{
+    open_work open;
+    for (loop::http_server const* s : answering_servers())
+        open.connections_ += s->open_connections();
+    open.links_behind_ = links_->links_behind();
+    open.links_ = links_->open_links();
+    return open;
+}
+
+void daemon::take_stop_signal()
+{
+    if (shutdown_.phase_ != shutdown_phase::running)
+        return;
+    instant const now = loop::read_clocks().now_;
+    say(severity::info, part::daemon, "stop signal received",
+        {{"changes",
+          std::to_string(operator_changes_.size() + order_documents_.size())}});
+    shutdown_ = begin_shutdown(
+        settings_.call_, now + calls_.settings_.shutdown_periods_.drain_period_,
+        now);
+    give(calls::input{calls::stop_requested{}});
+    if (!settings_.call_)
+        return loop_.quit();
+    enter_shutdown_phase();
+}
+
+void daemon::go_on_with_shutdown()
+{
+    shutdown_state const next = continue_shutdown(
+        shutdown_, count_open_work(), loop::read_clocks().now_);
+    if (next == shutdown_)
+        return;
+    shutdown_ = next;
+    enter_shutdown_phase();
+}
+
+void daemon::enter_shutdown_phase()
+{
+    if (shutdown_.phase_ == shutdown_phase::working)
+        return;
+    if (shutdown_.phase_ == shutdown_phase::answering)
+    {
+        for (loop::http_server* s : answering_servers())
+            s->stop_accepting([this] { go_on_with_shutdown(); });
+    }
+    // A peer that reads the end of one link before the answer on another one
+    // would take the forward for lost.
+    if (shutdown_.phase_ == shutdown_phase::flushing)
+        links_->ask_confirmation();
+    if (shutdown_.phase_ == shutdown_phase::closing)
+        links_->finish_writing();
+    if (shutdown_.phase_ == shutdown_phase::ended)
+        return end_shutdown();
+    shutdown_timer_.set(
+        shutdown_.end_ - loop::read_clocks().now_,
+        [this] { go_on_with_shutdown(); });
+    go_on_with_shutdown();
+}
+
+void daemon::end_shutdown()
+{
+    std::size_t const unanswered =
+        operator_changes_.size() + order_documents_.size();
+    fail_pending_changes("the host stops");
+    std::size_t unwritten = 0;
+    for (loop::http_server const* s : answering_servers())
+        unwritten += s->unwritten();
+    duration const took = loop::read_clocks().now_ - shutdown_.began_;
+    say(severity::info, part::daemon, "shutdown complete",
+        {{"after_ms", std::to_string(took.count() / 1000)},
+         {"changes_unanswered", std::to_string(unanswered)},
+         {"bytes_left_to_callers", std::to_string(unwritten)},
+         {"bytes_left_to_peers", std::to_string(links_->unwritten())}});
+    loop_.quit();
+}
+
+void daemon::fail_pending_changes(std::string const& why)
+{
+    for (auto const& waiting : std::exchange(order_documents_, {}))
+        orders_->answer(
+            waiting.second, platform::to_operator(unknown_outcome{why}));
+    for (std::uint64_t const number : std::exchange(operator_changes_, {}))
+        operators_->answer(
+            number,
+            json_answer(
+                200, wire::to_json(unknown_outcome{why}).dump() + "\n"));
+}
+
+} // namespace jackdawhall::daemon
--- /dev/null
+++ b/packages/daemon/jackdawhall/daemon/shutdown.hpp
@@ -0,0 +1,53 @@
+// The order in which a daemon ends after a stop signal. What is decided here
+// the daemon carries out: each step follows from what is still open and the
+// time, and none is later than the end of the drain period.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::daemon
+{
+
+enum class shutdown_phase
+{
+    running,   // no stop signal yet
+    working,   // calls and runs are in progress
+    answering, // no connection is accepted; those open finish
+    flushing,  // peers take what was sent to them
+    closing,   // the links with peers are closed in order
+    ended
+};
+
+struct shutdown_state
+{
+    shutdown_phase phase_ = shutdown_phase::running;
+    instant began_;
+    instant end_ = instant::max(); // of the phase, at the latest
+    instant drained_by_ = instant::max();
+    auto operator<=>(shutdown_state const&) const = default;
+};
+
+// What is still open in a daemon.
+struct open_work
+{
+    std::size_t connections_ = 0;  // of callers and operators
+    std::size_t links_behind_ = 0; // with bytes that the peer has not taken
+    std::size_t links_ = 0;        // with peers
+    auto operator<=>(open_work const&) const = default;
+};
+
+// A stop signal came. Only a daemon that `takes_calls` has calls to finish.
+shutdown_state
+begin_shutdown(bool takes_calls, instant drained_by, instant now);
+
+// The calls and runs are finished, or given up.
+shutdown_state finish_calls(shutdown_state s, instant drained_by);
+
+// Goes on to the next phase, if nothing holds it up any more.
+shutdown_state
+continue_shutdown(shutdown_state s, open_work const& open, instant now);
+
+} // namespace jackdawhall::daemon
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <optional>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -276,11 +277,22 @@
 void http_server::collect()
 {
     closed_.clear();
+    if (drained_ && connections_.empty())
+        std::exchange(drained_, {})();
 }
 
-void http_server::stop_accepting()
+std::size_t http_server::unwritten() const
+{
+    std::size_t bytes = 0;
+    for (auto const& held : connections_)
+        bytes += held.second->stream_->unwritten();
+    return bytes;
+}
+
+void http_server::stop_accepting(std::function<void()> drained)
 {
     closing_ = true;
+    drained_ = std::move(drained);
     acceptable_.reset();
     if (listener_ >= 0)
         ::close(listener_);
@@ -289,11 +301,13 @@
     for (auto const& held : connections_)
     {
         connection& c = *held.second;
-        if (c.phase_ == phase::reading && !c.began_)
+        // What is there but not read yet is still answered.
+        if (c.phase_ == phase::reading && !c.began_ && !c.stream_->has_unread())
             idle.push_back(&c);
     }
     for (connection* c : idle)
         close(*c);
+    collect_.ask();
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -58,10 +58,14 @@
     // From now on each answer is the last of its connection.
     void announce_closing() { closing_ = true; }
 
-    // Accepts no more connections, and closes those without a request.
-    void stop_accepting();
+    // Accepts no more connections, and closes those without a request. Calls
+    // `drained`, in a later round of the loop, when none is left.
+    void stop_accepting(std::function<void()> drained);
 
     std::size_t open_requests() const { return open_.size(); }
+    std::size_t open_connections() const { return connections_.size(); }
+    // Bytes of answers that were not written yet.
+    std::size_t unwritten() const;
 
 private:
     struct connection;
@@ -87,6 +91,7 @@
     int listener_ = -1;
     source_ptr acceptable_;
     bool closing_ = false;
+    std::function<void()> drained_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
     std::map<std::uint64_t, connection*> open_; // by number of the request
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -61,6 +61,7 @@
     frame_queue waiting_;
     std::deque<std::pair<std::string, std::uint64_t>> before_ready_;
     std::optional<instant> unanswered_since_;
+    std::uint32_t pings_ = 0; // not answered
     instant last_received_;
 };
 
@@ -82,7 +83,7 @@
 {
     handlers_ = {
         [](auto const&, auto) {}, [](auto const&, auto) {},
-        [](auto const&, auto) {}, [](auto) {}};
+        [](auto const&, auto) {}, [](auto) {}, [] {}};
     if (service_)
         g_socket_service_stop(service_.get());
     for (link& l : links_)
@@ -236,6 +237,7 @@
 {
     links_.remove_if([](link const& l)
                      { return l.stage_ == link_stage::closed; });
+    handlers_.settled_();
 }
 
 void peer_links::read_ready(link& l)
@@ -293,7 +295,7 @@
     std::visit(
         overloaded{
             [&](ping_frame const&) { queue(l, pong_frame{}, 0); },
-            [](pong_frame const&) {},
+            [&](pong_frame const&) { take_pong(l); },
             [&](message_frame& m)
             { handlers_.received_(l.host_, std::move(m.bytes_)); },
             [&](auto const&) { close(l, "a greeting on a proven link"); },
@@ -357,6 +359,8 @@
 {
     std::string const bytes = encode_frame(f);
     message_frame* message = std::get_if<message_frame>(&f);
+    if (std::holds_alternative<ping_frame>(f))
+        ++l.pings_;
     bool const asks = !std::holds_alternative<pong_frame>(f);
     if (l.waiting_.out_.size() + bytes.size() > max_waiting_bytes)
     {
@@ -396,7 +400,11 @@
     }
     take_written(l.waiting_, done);
     if (out.empty())
+    {
+        if (l.writable_)
+            collect_.ask();
         return l.writable_.reset();
+    }
     if (l.writable_)
         return;
     l.writable_ = watch_socket(
@@ -465,6 +473,8 @@
 
 void peer_links::send(host_name const& to, std::string bytes, std::uint64_t tag)
 {
+    if (finished_)
+        return handlers_.undelivered_(to, std::move(bytes));
     link* l = link_to(to);
     bool const known = addresses_.contains(to);
     if (known && (!l || !l->outbound_))
@@ -487,4 +497,58 @@
         l->before_ready_.emplace_back(std::move(bytes), tag);
 }
 
+void peer_links::take_pong(link& l)
+{
+    if (l.pings_ > 0)
+        --l.pings_;
+    if (l.pings_ == 0)
+        collect_.ask();
+}
+
+void peer_links::ask_confirmation()
+{
+    for (link& l : links_)
+    {
+        if (l.stage_ == link_stage::ready)
+            queue(l, ping_frame{}, 0);
+    }
+}
+
+std::size_t peer_links::links_behind() const
+{
+    std::size_t count = 0;
+    for (link const& l : links_)
+    {
+        bool const open = l.stage_ != link_stage::closed;
+        if (open && (l.pings_ > 0 || !l.waiting_.out_.empty() ||
+                     !l.before_ready_.empty()))
+            ++count;
+    }
+    return count;
+}
+
+void peer_links::finish_writing()
+{
+    finished_ = true;
+    for (link& l : links_)
+    {
+        if (l.stage_ == link_stage::ready)
+            g_socket_shutdown(l.socket_, FALSE, TRUE, nullptr);
+        else
+            close(l, "");
+    }
+}
+
+std::size_t peer_links::unwritten() const
+{
+    std::size_t bytes = 0;
+    for (link const& l : links_)
+    {
+        bytes += l.waiting_.out_.size();
+        for (auto const& waiting : l.before_ready_)
+            bytes += waiting.first.size();
+    }
+    return bytes;
+}
+
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -35,6 +35,9 @@
         lost_;
     std::function<void(host_name const& to, std::string bytes)> undelivered_;
     std::function<void(std::string)> note_;
+    // In a later round of the loop: bytes that waited are written, or a link
+    // closed.
+    std::function<void()> settled_;
 };
 
 class peer_links
@@ -56,7 +59,18 @@
     // Sends a message. A tag other than 0 is reported by lost_.
     void send(host_name const& to, std::string bytes, std::uint64_t tag);
 
+    // Asks each peer to confirm that it has taken all frames sent so far.
+    void ask_confirmation();
+    // Links on which bytes wait to be written or confirmed.
+    std::size_t links_behind() const;
+
+    // Sends nothing more, and ends each link's writing side: peers then close
+    // theirs.
+    void finish_writing();
+
     std::size_t open_links() const { return links_.size(); }
+    // Bytes that wait to be written.
+    std::size_t unwritten() const;
 
 private:
     struct link;
@@ -71,6 +85,7 @@
     void take_frames(link& l);
     void take_frame(link& l, peer_frame f);
     void take_unproven(link& l, peer_frame const& f);
+    void take_pong(link& l);
     void take_hello(link& l, hello_frame const& hello);
     void queue(link& l, peer_frame f, std::uint64_t tag);
     void flush(link& l);
@@ -88,6 +103,7 @@
     std::map<host_name, endpoint> addresses_;
     std::map<host_name, instant> failed_; // connects that failed lately
     std::list<link> links_;
+    bool finished_ = false;
     later collect_{[this] { collect_closed(); }};
     std::vector<char> read_buffer_; // used within one read only
 };
