Answer the changes in progress before a control host ends

An operator whose change was taken by a control host got no answer when that host was stopped: the connection ended.

The cause: a daemon without the role `call` quit its loop in the handler of the signal.

It now goes through the same order of shutdown, beginning with its connections: a change in progress gets its outcome, or `unknown outcome` at the end of the drain period. With nothing in progress it ends as soon as its peers confirm.

Evidence: failure/stop_control_host before: FAILED: the change got no answer: jackdawhallctl: 127.0.1.1:21302 gave no answer: Could not connect to 127.0.1.1: Connection refused After: the change was answered; an idle control host ended in 4 ms.

--- a/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
@@ -41,8 +41,6 @@
         settings_.call_, now + calls_.settings_.shutdown_periods_.drain_period_,
         now);
     give(calls::input{calls::stop_requested{}});
-    if (!settings_.call_)
-        return loop_.quit();
     enter_shutdown_phase();
 }
 
