Say from the stop signal on that connections close

Callers with kept connections met a closed socket at the end of a planned stop, since no answer had told them to move.

The cause: the HTTP server could say so, but nothing called it.

From the signal on, each answer of the callers', operators', orders' and readiness addresses is the last of its connection; idle connections are closed at the end only, and what has come in by then is still answered.

Evidence: failure/graceful_stop, which now looks at the answer's head, before: FAILED: the answer during the stop does not say that its connection closes After: it passes.

--- a/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
@@ -37,6 +37,10 @@
     say(severity::info, part::daemon, "stop signal received",
         {{"changes",
           std::to_string(operator_changes_.size() + order_documents_.size())}});
+    for (loop::http_server* s : answering_servers())
+        s->announce_closing();
+    if (readiness_)
+        readiness_->announce_closing();
     shutdown_ = begin_shutdown(
         settings_.call_, now + calls_.settings_.shutdown_periods_.drain_period_,
         now);
--- a/test/failure/graceful_stop.sh
+++ b/test/failure/graceful_stop.sh
@@ -4,8 +4,8 @@
 . "$(dirname "$0")/common.sh"
 set_up_usual
 slow() { # HOST
-  curl -s -m 10 -H "jackdawhall-key: $key" -H 'fake-sleep-ms: 1500' \
-    "http://$(callers "$1")/plans/slow"
+  curl -s -m 10 -D "$run/head$1" -H "jackdawhall-key: $key" \
+    -H 'fake-sleep-ms: 1500' "http://$(callers "$1")/plans/slow"
 }
 slow 1 > "$run/entered" &
 a=$!
@@ -16,6 +16,8 @@
 wait "$a" "$b"
 grep -q 'plans answered' "$run/entered" || fail "the request entered here"
 grep -q 'plans answered' "$run/run" || fail "the request run here"
+grep -qi '^connection: close' "$run/head1" ||
+  fail "the answer during the stop does not say that its connection closes"
 wait "$daemon_pid_1"
 status=$?
 [ "$status" -eq 0 ] || fail "exit status $status"
