--- a/test/failure/stop_control_host.sh
+++ b/test/failure/stop_control_host.sh
@@ -9,7 +9,8 @@
   sed -i 's/^roles:.*/roles: [control]/' "$run/host$host.yaml"
   start_daemon "$host"
 done
-wait_for 20 ctl account set early --rate 10 --burst 10 || fail "the first change"
+wait_for 20 ctl account set early --rate 10 --burst 10 ||
+  fail "the first change"
 
 received() { grep -c "change received" "$run/host1.log"; }
 before=$(received)
