--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -2,11 +2,8 @@
 
 #include <algorithm>
 
-#include <jackdawhall/loop/event_loop.hpp>
-#include <jackdawhall/loop/frame_queue.hpp>
 #include <jackdawhall/loop/peer_frames.hpp>
-#include <jackdawhall/loop/socket_options.hpp>
-#include <jackdawhall/loop/timer.hpp>
+#include <jackdawhall/loop/peer_link.hpp>
 
 namespace jackdawhall::loop
 {
@@ -14,13 +11,10 @@
 namespace
 {
 
-constexpr std::size_t nonce_bytes = 16;
 constexpr std::uint32_t max_unproven_frame_bytes = 512;
 constexpr std::size_t read_bytes = 64 << 10;
 constexpr int reads_at_once = 16; // so that one peer does not hold others up
 
-constexpr duration connect_timeout = std::chrono::seconds(1);
-constexpr duration handshake_timeout = std::chrono::seconds(2);
 constexpr duration probe_after = std::chrono::milliseconds(500);
 constexpr duration close_after = std::chrono::milliseconds(1500);
 constexpr duration probe_step = std::chrono::milliseconds(300);
@@ -35,36 +29,6 @@
 
 } // namespace
 
-enum class link_stage
-{
-    connecting,
-    proving,
-    ready,
-    closed
-};
-
-struct peer_links::link
-{
-    peer_links* owner_ = nullptr;
-    link_stage stage_ = link_stage::connecting;
-    bool outbound_ = false;
-    host_name host_;
-    std::string nonce_;
-    object_ptr<GSocketConnection> connection_;
-    object_ptr<GCancellable> connecting_;
-    GSocket* socket_ = nullptr;
-    source_ptr readable_;
-    source_ptr writable_;
-    timer_ptr timer_;
-    std::optional<instant> timer_due_;
-    std::string in_;
-    frame_queue waiting_;
-    std::deque<std::pair<std::string, std::uint64_t>> before_ready_;
-    std::optional<instant> unanswered_since_;
-    std::uint32_t pings_ = 0; // not answered
-    instant last_received_;
-};
-
 peer_links::peer_links(
     host_name self, endpoint listen, std::string secret, peer_handlers handlers)
     : self_(std::move(self)), listen_(std::move(listen)),
@@ -90,119 +54,11 @@
         close(l, "");
 }
 
-leaf::result<void> peer_links::listen()
-{
-    service_.reset(g_socket_service_new());
-    object_ptr<GInetAddress> const ip(
-        g_inet_address_new_from_string(listen_.address_.c_str()));
-    object_ptr<GSocketAddress> const address(
-        g_inet_socket_address_new(ip.get(), listen_.port_));
-    GError* raw = nullptr;
-    gboolean const bound = g_socket_listener_add_address(
-        G_SOCKET_LISTENER(service_.get()), address.get(), G_SOCKET_TYPE_STREAM,
-        G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &raw);
-    error_ptr const error(raw);
-    if (!bound)
-        return leaf::new_error(user_error{
-            "cannot listen for peers on " + listen_.address_ + ":" +
-                std::to_string(listen_.port_) + ": " + message_of(error),
-            "free the port, or change listen.peers"});
-    g_signal_connect(
-        service_.get(), "incoming",
-        G_CALLBACK(
-            +[](GSocketService*, GSocketConnection* connection, GObject*,
-                gpointer self) -> gboolean
-            {
-                static_cast<peer_links*>(self)->accept(connection);
-                return TRUE;
-            }),
-        this);
-    g_socket_service_start(service_.get());
-    return {};
-}
-
 void peer_links::set_address(host_name const& host, endpoint const& address)
 {
     addresses_.insert_or_assign(host, address);
 }
 
-peer_links::link& peer_links::add_link()
-{
-    link& l = links_.emplace_back();
-    l.owner_ = this;
-    l.last_received_ = now();
-    return l;
-}
-
-void peer_links::accept(GSocketConnection* connection)
-{
-    if (links_.size() >= max_peer_connections)
-        return; // dropping the connection closes it
-    link& l = add_link();
-    adopt(l, connection);
-    random_source random = random_source::from_system_entropy();
-    l.nonce_ = random.hex(nonce_bytes);
-    queue(l, challenge_frame{l.nonce_}, 0);
-    if (l.stage_ != link_stage::closed)
-        arm(l, handshake_timeout);
-}
-
-void peer_links::connect_to(host_name const& host)
-{
-    link& l = add_link();
-    l.outbound_ = true;
-    l.host_ = host;
-    l.connecting_.reset(g_cancellable_new());
-    endpoint const& to = addresses_.at(host);
-    object_ptr<GInetAddress> const ip(
-        g_inet_address_new_from_string(to.address_.c_str()));
-    object_ptr<GSocketAddress> const address(
-        g_inet_socket_address_new(ip.get(), to.port_));
-    struct attempt
-    {
-        link* link_;
-        object_ptr<GCancellable> cancelled_;
-    };
-    g_socket_client_connect_async(
-        client_.get(), G_SOCKET_CONNECTABLE(address.get()), l.connecting_.get(),
-        [](GObject* source, GAsyncResult* result, gpointer data)
-        {
-            std::unique_ptr<attempt> const a(static_cast<attempt*>(data));
-            GError* raw = nullptr;
-            object_ptr<GSocketConnection> const connection(
-                g_socket_client_connect_finish(
-                    G_SOCKET_CLIENT(source), result, &raw));
-            error_ptr const error(raw);
-            if (g_cancellable_is_cancelled(a->cancelled_.get()))
-                return; // the link is gone
-            link& made = *a->link_;
-            if (!connection)
-                return made.owner_->close(made, message_of(error));
-            made.owner_->adopt(made, connection.get());
-        },
-        new attempt{&l, share(l.connecting_.get())});
-    arm(l, connect_timeout + handshake_timeout);
-}
-
-void peer_links::adopt(link& l, GSocketConnection* connection)
-{
-    l.connection_ = share(connection);
-    l.socket_ = g_socket_connection_get_socket(connection);
-    l.stage_ = link_stage::proving;
-    g_socket_set_blocking(l.socket_, FALSE);
-    g_socket_set_timeout(l.socket_, 0);
-    set_socket_options(l.socket_);
-    l.readable_ = watch_socket(
-        l.socket_, G_IO_IN,
-        [](GSocket*, GIOCondition, gpointer data) -> gboolean
-        {
-            link& ready = *static_cast<link*>(data);
-            ready.owner_->read_ready(ready);
-            return G_SOURCE_CONTINUE;
-        },
-        &l);
-}
-
 void peer_links::close(link& l, std::string const& why)
 {
     if (l.stage_ == link_stage::closed)
