--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -108,6 +108,7 @@
     if (!s.stopping_since_ || s.stopped_)
         return w;
     shutdown_periods const& times = s.settings_.shutdown_periods_;
+    instant const drained_by = *s.stopping_since_ + times.drain_period_;
     duration const since = w.at_.now_ - *s.stopping_since_;
     bool const late = since >= times.drain_period_;
     bool const announced =
@@ -122,7 +123,7 @@
          {"after_ms", milliseconds_text(since)}}});
     log_runs_given_up(w);
     w = give_up_calls(std::move(w));
-    w.effects_.push_back(stopped{});
+    w.effects_.push_back(stopped{drained_by});
     return w;
 }
 
--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -233,7 +233,7 @@
     }
     if (!is_success(a) && !c.rules_.echoed_name_.empty())
         c.failed_.push_back(hash_of(c.rules_));
-    bool const whole_request = c.stream_->all_written();
+    bool const whole_request = c.stream_->unwritten() == 0;
     bool const reusable = message.keep_alive() && whole_request &&
                           !c.foreign_seen_ && c.stream_->input().empty() &&
                           c.failed_.size() <= max_failed_kept;
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <optional>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -30,6 +31,7 @@
 {
     reading,   // a request, or waiting for one
     answering, // a request is in progress
+    writing,   // its answer is being written
     lingering  // the last answer was written
 };
 
@@ -58,6 +60,7 @@
     std::uint64_t number_ = 0;
     std::string method_;
     bool keep_alive_ = true;
+    bool last_ = false; // no request follows the answer
     timer_ptr timer_;
     std::unique_ptr<byte_stream> stream_;
 };
@@ -119,7 +122,8 @@
             stream_handlers{
                 [&c] { c.owner_->take_bytes(c); },
                 [&c](stream_end) { c.owner_->take_end(c); },
-                {}});
+                [&c] { c.owner_->answer_written(c); }},
+            caller_stall_time);
         c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
         begin_request(c);
     }
@@ -151,7 +155,7 @@
     std::string& in = c.stream_->input();
     if (c.phase_ == phase::lingering)
         return in.clear();
-    if (c.phase_ == phase::answering)
+    if (c.phase_ == phase::answering || c.phase_ == phase::writing)
     {
         if (in.size() > max_early_bytes)
             c.stream_->read_more(false);
@@ -215,10 +219,18 @@
 void http_server::respond(
     connection& c, jackdawhall::answer const& a, bool last)
 {
+    c.phase_ = phase::writing;
+    c.last_ = last;
+    // How long the caller may take nothing is the stream's concern.
+    set_timer_due(c.timer_, instant::max());
     c.stream_->write(to_text(a, c.method_, last));
-    if (!c.stream_->is_open())
-        return;
-    if (last)
+}
+
+void http_server::answer_written(connection& c)
+{
+    if (c.phase_ != phase::writing)
+        return; // 100 Continue
+    if (c.last_)
         linger(c);
     else
         begin_request(c);
@@ -229,8 +241,7 @@
     c.phase_ = phase::lingering;
     c.stream_->input().clear();
     c.stream_->read_more(true);
-    if (c.stream_->all_written())
-        c.stream_->finish_writing();
+    c.stream_->finish_writing();
     arm(c, linger_time);
 }
 
@@ -249,8 +260,6 @@
     bool const slow = c.phase_ == phase::reading && c.began_;
     if (slow)
         return refuse(c, 408);
-    if (c.phase_ == phase::lingering && !c.stream_->all_written())
-        return arm(c, linger_time);
     close(c);
 }
 
@@ -269,11 +278,22 @@
 void http_server::collect()
 {
     closed_.clear();
+    if (drained_ && connections_.empty())
+        std::exchange(drained_, {})();
 }
 
-void http_server::stop_accepting()
+std::size_t http_server::unwritten() const
+{
+    std::size_t bytes = 0;
+    for (auto const& held : connections_)
+        bytes += held.second->stream_->unwritten();
+    return bytes;
+}
+
+void http_server::stop_accepting(std::function<void()> drained)
 {
     closing_ = true;
+    drained_ = std::move(drained);
     acceptable_.reset();
     if (listener_ >= 0)
         ::close(listener_);
@@ -282,11 +302,13 @@
     for (auto const& held : connections_)
     {
         connection& c = *held.second;
-        if (c.phase_ == phase::reading && !c.began_)
+        // What is there but not read yet is still answered.
+        if (c.phase_ == phase::reading && !c.began_ && !c.stream_->has_unread())
             idle.push_back(&c);
     }
     for (connection* c : idle)
         close(*c);
+    collect_.ask();
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -22,7 +22,8 @@
     std::uint32_t header_bytes_ = 16 << 10;
     std::uint64_t body_bytes_ = 1 << 20;
     duration header_time_ = std::chrono::seconds(10); // first to last byte
-    duration idle_time_ = std::chrono::seconds(60);   // between two requests
+    // From the last byte of an answer to the first one of the next request.
+    duration idle_time_ = std::chrono::seconds(60);
     auto operator<=>(http_limits const&) const = default;
 };
 
@@ -57,10 +58,14 @@
     // From now on each answer is the last of its connection.
     void announce_closing() { closing_ = true; }
 
-    // Accepts no more connections, and closes those without a request.
-    void stop_accepting();
+    // Accepts no more connections, and closes those without a request. Calls
+    // `drained`, in a later round of the loop, when none is left.
+    void stop_accepting(std::function<void()> drained);
 
     std::size_t open_requests() const { return open_.size(); }
+    std::size_t open_connections() const { return connections_.size(); }
+    // Bytes of answers that were not written yet.
+    std::size_t unwritten() const;
 
 private:
     struct connection;
@@ -71,6 +76,7 @@
     void take_end(connection& c);
     void refuse(connection& c, std::uint16_t status);
     void respond(connection& c, jackdawhall::answer const& a, bool last);
+    void answer_written(connection& c);
     void begin_request(connection& c);
     void linger(connection& c);
     void close(connection& c);
@@ -85,6 +91,7 @@
     int listener_ = -1;
     source_ptr acceptable_;
     bool closing_ = false;
+    std::function<void()> drained_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
     std::map<std::uint64_t, connection*> open_; // by number of the request
