--- a/test/support/scripted_server.hpp
+++ b/test/support/scripted_server.hpp
@@ -95,7 +95,7 @@
     {
         if (s.ended_)
             return;
-        if (s.stream_->all_written())
+        if (s.stream_->unwritten() == 0)
             s.stream_->write(s.endless_);
         loop::set_timer_due(s.next_, loop::read_clocks().now_);
     }
