A voter that was removed while it was down joins again

What callers saw: after one machine was down for 7 s while another came back with an empty disk, the core went on with four voters for good; the next loss of two disks, which the site must bear, ended the changes and the reads for ever.

Cause: the leader removes the silent voter to make room for the empty one. The removed host comes back with a log that still lists it, so it never asked to join; a leader elected meanwhile makes peers of its voters only, and the refusals of its trial votes don't say that it was removed.

Now a voter of its own log that hears from no leader for the minimum election timeout asks as well.

--- a/packages/control/jackdawhall/control/consensus.cpp
+++ b/packages/control/jackdawhall/control/consensus.cpp
@@ -75,10 +75,20 @@
     return step_context{std::move(state), {}, now};
 }
 
+// Earliest instant at which a join request is due, for a host that does not
+// lead. A voter of its own log that hears from no leader asks as well: it may
+// have been removed while it was down.
+instant join_request_due(consensus_state const& s)
+{
+    if (detail::is_voter(s, s.self_))
+        return std::max(s.next_join_request_, s.no_vote_until_);
+    return s.next_join_request_;
+}
+
 void request_join_if_due(step_context& ctx)
 {
     consensus_state& s = ctx.state_;
-    if (detail::is_voter(s, s.self_) || ctx.now_ < s.next_join_request_)
+    if (is_leader(s) || ctx.now_ < join_request_due(s))
         return;
     s.next_join_request_ = ctx.now_ + join_interval;
     bool const log_empty = s.log_.last_index() == 0;
@@ -277,9 +287,10 @@
 {
     if (leader const* l = std::get_if<leader>(&state.role_))
         return l->next_heartbeat_;
-    if (!detail::is_voter(state, state.self_))
-        return state.next_join_request_;
-    return state.election_deadline_;
+    instant const join_due = join_request_due(state);
+    return detail::is_voter(state, state.self_)
+               ? std::min(join_due, state.election_deadline_)
+               : join_due;
 }
 
 } // namespace jackdawhall::control
--- a/packages/control/jackdawhall/control/consensus.hpp
+++ b/packages/control/jackdawhall/control/consensus.hpp
@@ -212,7 +212,8 @@
 // Earliest instant at which tick has work to do.
 instant next_due(consensus_state const& state);
 
-// Interval between two join requests of a control host that is no voter.
+// Interval between two join requests of a control host that is no voter, or
+// that hears from no leader.
 inline constexpr duration join_interval = std::chrono::milliseconds(500);
 
 // With allow_unlisted_hosts_, a voter that was silent for longer than
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -192,7 +192,8 @@
     std::int64_t leader_time_ = 0;
     auto operator<=>(install_snapshot const&) const = default;
 };
-// Sent by a control host that is not a voter yet.
+// Sent by a control host that is not a voter yet, or that hears from no leader
+// and so may have been removed.
 struct join_request
 {
     voter voter_;
--- /dev/null
+++ b/test/correctness/removed_voter_returns.cpp
@@ -0,0 +1,124 @@
+// A control host that was removed, emptied or replaced is a voter again in a
+// bounded time, so that the next loss within the tolerance is survived.
+#include <catch2/catch.hpp>
+
+#include "scenario.hpp"
+
+using namespace jackdawhall;
+using namespace jackdawhall::test;
+
+namespace
+{
+
+constexpr std::size_t control_hosts = 5;
+
+fleet_options five_hosts(std::uint64_t seed)
+{
+    fleet_options o;
+    o.seed_ = seed;
+    o.hosts_ = control_hosts;
+    o.control_hosts_ = control_hosts;
+    o.control_seeds_ = 3;
+    o.durable_copies_ = 3;
+    o.sync_time_ = 5ms;
+    return o;
+}
+
+bool is_leaders_voter(memory_fleet const& fleet, std::size_t i)
+{
+    std::optional<std::size_t> const leader = fleet.leader();
+    if (!leader || !fleet.is_up(i))
+        return false;
+    std::vector<voter> const& voters =
+        fleet.control_of(*leader).consensus_.log_.voters();
+    return std::find(
+               voters.begin(), voters.end(),
+               fleet.control_of(i).consensus_.self_) != voters.end();
+}
+
+// Whether exactly the control hosts that run, all of them, are voters.
+bool all_vote(memory_fleet const& fleet)
+{
+    std::optional<std::size_t> const leader = fleet.leader();
+    if (!leader)
+        return false;
+    control::consensus_state const& c = fleet.control_of(*leader).consensus_;
+    for (std::size_t i = 0; i < control_hosts; ++i)
+    {
+        if (!is_leaders_voter(fleet, i))
+            return false;
+    }
+    return c.log_.voters().size() == control_hosts &&
+           c.commit_ >= c.log_.voters_index();
+}
+
+bool holds(memory_fleet const& fleet, std::size_t i, revision changes)
+{
+    return fleet.is_up(i) && fleet.control_of(i).machine_.revision_ >= changes;
+}
+
+// The `n`th control host that does not lead.
+std::size_t follower(memory_fleet const& fleet, std::size_t n)
+{
+    return (fleet.leader().value() + 1 + n) % control_hosts;
+}
+
+void restart_empty(memory_fleet& fleet, std::size_t i)
+{
+    fleet.kill(i);
+    fleet.lose_disk(i);
+    fleet.start(i);
+}
+
+} // namespace
+
+// The core was lost for good: the removed host never asked to join.
+TEST_CASE("a voter removed while it was down joins again")
+{
+    memory_fleet fleet(five_hosts(GENERATE(range(1, 9))));
+    REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
+    make_change(fleet, {put_account("one", 1, 1)});
+    std::size_t const first_leader = fleet.leader().value();
+    std::size_t const down = follower(fleet, 3);
+    std::size_t const emptied = follower(fleet, 2);
+
+    fleet.kill(down);
+    fleet.run_for(1s);
+    fleet.kill(emptied);
+    fleet.lose_disk(emptied);
+    fleet.run_for(500ms);
+    fleet.start(emptied);
+    fleet.run_for(4500ms);
+    fleet.kill(first_leader);
+    fleet.run_for(300ms);
+    fleet.start(first_leader);
+    fleet.run_for(700ms);
+    fleet.start(down);
+    CHECK(fleet.run_until([&] { return all_vote(fleet); }, 6s));
+
+    fleet.run_for(18s);
+    make_change(fleet, {put_account("two", 1, 1)});
+    fleet.kill(first_leader);
+    fleet.kill(emptied);
+    fleet.lose_disk(first_leader);
+    fleet.lose_disk(emptied);
+    fleet.run_for(1400ms);
+    fleet.start(first_leader);
+    fleet.start(emptied);
+    CHECK(fleet.run_until(
+        [&] { return holds(fleet, first_leader, 2) && all_vote(fleet); }, 8s));
+}
+
+// The leader forgets a silent peer after joining_host_timeout.
+TEST_CASE("a voter that was away for long joins again")
+{
+    memory_fleet fleet(five_hosts(GENERATE(range(1, 5))));
+    REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
+    std::size_t const down = follower(fleet, 3);
+    fleet.kill(down);
+    fleet.run_for(3s);
+    restart_empty(fleet, follower(fleet, 2));
+    fleet.run_for(20s);
+    fleet.start(down);
+    CHECK(fleet.run_until([&] { return all_vote(fleet); }, 4s));
+}
