Hosts that lost their disks are voters again within 3 s

What callers saw: the leader and another core machine lost their disks; 4.1 s after they were back two others did, right after an acknowledgement, and the configuration never came back.

Cause: the waits add up to over 5 s. After an election of up to 2 s a new leader counted the silence of the old identities anew, for 2 s; then each removal, each first contact and each addition waited for the next join request, 0.5 s apart. With as few voters as an entry needs copies the removal of a lost disk was never committed, so that the host could not come back at all.

Now the leader takes a host that asks as a learner at once. An old identity goes after three heartbeats without an answer: the host itself says that it has another disk.

Ruled out: no silence at all. A late join request of an earlier identity would then remove the one in use.

--- a/packages/control/jackdawhall/control/change_voters.cpp
+++ b/packages/control/jackdawhall/control/change_voters.cpp
@@ -115,52 +115,105 @@
     return true;
 }
 
-// Removes `lost`, the former disk identity of a host that asks to join. An
-// identity that answered within election_max_ is kept: it is still in use.
-void remove_lost_disk(step_context& ctx, voter lost)
+bool is_silent(step_context const& ctx, voter const& who, duration limit)
 {
     leader const& l = std::get<leader>(ctx.state_.role_);
-    auto const found = l.peers_.find(lost);
-    bool const silent =
-        found == l.peers_.end() || ctx.now_ - found->second.last_heard_ >
-                                       ctx.state_.settings_.election_max_;
-    if (!silent || !may_change_voters(ctx.state_))
-        return;
+    auto const found = l.peers_.find(who);
+    return who != ctx.state_.self_ &&
+           (found == l.peers_.end() ||
+            ctx.now_ - found->second.last_heard_ > limit);
+}
+
+duration lost_disk_silence(consensus_state const& s)
+{
+    return lost_disk_heartbeats * s.settings_.heartbeat_;
+}
+
+// Returns a voter whose host now answers under another disk identity. An
+// identity that still answers is kept: it is in use.
+std::optional<voter> find_lost_disk(step_context const& ctx)
+{
+    duration const limit = lost_disk_silence(ctx.state_);
+    for (voter const& v : ctx.state_.log_.voters())
+    {
+        if (!is_silent(ctx, v, limit))
+            continue;
+        for (auto const& peer : std::get<leader>(ctx.state_.role_).peers_)
+        {
+            if (peer.first.host_ == v.host_ && peer.first != v &&
+                !is_silent(ctx, peer.first, limit))
+                return v;
+        }
+    }
+    return std::nullopt;
+}
+
+void remove_lost_disk(step_context& ctx, voter const& lost)
+{
     log_event(
         ctx, "removing the voter of a lost disk", {{"host", lost.host_.str()}});
+    std::get<leader>(ctx.state_.role_).peers_.erase(lost);
     append_command(
         ctx, voters_command{without(ctx.state_.log_.voters(), lost), {}});
 }
 
-// Adds `joining` as a peer on its first request, and as a voter once it has all
-// committed entries and no dead voter has to be removed first.
-void add_when_caught_up(step_context& ctx, voter const& joining)
+bool has_answering_voter(step_context const& ctx, host_name const& host)
 {
-    consensus_state& s = ctx.state_;
-    leader& l = std::get<leader>(s.role_);
-    auto const found = l.peers_.find(joining);
-    if (found == l.peers_.end())
+    consensus_state const& s = ctx.state_;
+    return std::any_of(
+        s.log_.voters().begin(), s.log_.voters().end(),
+        [&](voter const& v) {
+            return v.host_ == host && !is_silent(ctx, v, lost_disk_silence(s));
+        });
+}
+
+// Returns a host that joins and has all committed entries.
+std::optional<voter> find_caught_up(step_context const& ctx)
+{
+    consensus_state const& s = ctx.state_;
+    for (auto const& peer : std::get<leader>(s.role_).peers_)
     {
-        std::erase_if(
-            l.peers_, [&](auto const& peer)
-            { return peer.first.host_ == joining.host_; });
-        progress p;
-        p.next_ = s.log_.last_index() + 1;
-        p.last_heard_ = ctx.now_;
-        l.peers_.emplace(joining, p);
-        return replicate_to(ctx, joining, true);
+        if (!is_voter(s, peer.first) && peer.second.match_ >= s.commit_ &&
+            !is_silent(ctx, peer.first, joining_host_silence) &&
+            !has_answering_voter(ctx, peer.first.host_))
+            return peer.first;
     }
-    found->second.last_heard_ = ctx.now_;
-    if (found->second.match_ < s.commit_ || !may_change_voters(s) ||
-        remove_dead_voter(ctx))
-        return;
-    std::vector<voter> voters = s.log_.voters();
+    return std::nullopt;
+}
+
+void add_voter(step_context& ctx, voter const& joining)
+{
+    std::vector<voter> voters = ctx.state_.log_.voters();
     voters.push_back(joining);
     std::sort(voters.begin(), voters.end());
     log_event(ctx, "adding a voter", {{"host", joining.host_.str()}});
     append_command(ctx, voters_command{std::move(voters), {}});
 }
 
+// Takes the sender of a join request as a peer; its entries follow.
+void replicate_to_joining(step_context& ctx, voter const& joining)
+{
+    consensus_state& s = ctx.state_;
+    leader& l = std::get<leader>(s.role_);
+    auto const found = l.peers_.find(joining);
+    if (found != l.peers_.end())
+    {
+        found->second.last_heard_ = ctx.now_;
+        return;
+    }
+    std::erase_if(
+        l.peers_,
+        [&](auto const& peer) {
+            return peer.first.host_ == joining.host_ &&
+                   !is_voter(s, peer.first);
+        });
+    progress p;
+    p.next_ = s.log_.last_index() + 1;
+    p.last_heard_ = ctx.now_;
+    l.peers_.emplace(joining, p);
+    replicate_to(ctx, joining, true);
+}
+
 bool is_listed_host(consensus_state const& s, host_name const& host)
 {
     std::vector<host_name> const& hosts = s.settings_.control_hosts_;
@@ -187,6 +240,21 @@
     }
 }
 
+// A lost disk is removed first, unless the voters left would be fewer than the
+// copies that an entry needs: then its host's new identity is added first.
+void admit_joining_hosts(step_context& ctx)
+{
+    consensus_state const& s = ctx.state_;
+    if (!is_leader(s) || !may_change_voters(s))
+        return;
+    std::optional<voter> const lost = find_lost_disk(ctx);
+    if (lost && s.log_.voters().size() > s.settings_.min_durable_copies_)
+        return remove_lost_disk(ctx, *lost);
+    std::optional<voter> const joining = find_caught_up(ctx);
+    if (joining && !remove_dead_voter(ctx))
+        add_voter(ctx, *joining);
+}
+
 void handle(step_context& ctx, join_request const& m, wall_time wall)
 {
     consensus_state& s = ctx.state_;
@@ -204,12 +272,8 @@
         record_uninitialized_host(ctx, m, wall);
     if (!is_leader(s) || is_voter(s, m.voter_))
         return;
-    auto const same_host = std::find_if(
-        s.log_.voters().begin(), s.log_.voters().end(),
-        [&](voter const& v) { return v.host_ == m.voter_.host_; });
-    if (same_host != s.log_.voters().end())
-        return remove_lost_disk(ctx, *same_host);
-    add_when_caught_up(ctx, m.voter_);
+    replicate_to_joining(ctx, m.voter_);
+    admit_joining_hosts(ctx);
 }
 
 void handle(step_context& ctx, control_host_list const& m)
@@ -231,6 +295,7 @@
         });
     if (s.log_.voters().size() > min_voters_after_removal)
         remove_dead_voter(ctx);
+    admit_joining_hosts(ctx);
 }
 
 } // namespace jackdawhall::control::detail
--- a/packages/control/jackdawhall/control/consensus.hpp
+++ b/packages/control/jackdawhall/control/consensus.hpp
@@ -221,6 +221,11 @@
 // least min_voters_after_removal voters remain without it.
 inline constexpr duration dead_voter_timeout = std::chrono::milliseconds(2500);
 inline constexpr std::size_t min_voters_after_removal = 5;
+// A voter's identity that answered none of this many heartbeats is removed once
+// its host asks to join under another one.
+inline constexpr int lost_disk_heartbeats = 3;
+// A joining host that was silent for longer than this is not made a voter.
+inline constexpr duration joining_host_silence = std::chrono::seconds(1);
 // The leader drops a joining host that was silent for longer than this.
 inline constexpr duration joining_host_timeout = std::chrono::seconds(10);
 
--- a/packages/control/jackdawhall/control/consensus_detail.hpp
+++ b/packages/control/jackdawhall/control/consensus_detail.hpp
@@ -53,8 +53,11 @@
 // Adds the voters of the leader's log that are missing from its peers.
 void sync_peers_with_voters(step_context& ctx);
 
-// Removes a dead voter if enough voters remain, and drops joining hosts that
-// have timed out.
+// Makes the next change of voters, if one is due: removes a lost disk's voter,
+// or adds a joining host that has all committed entries.
+void admit_joining_hosts(step_context& ctx);
+// Removes a dead voter if enough voters remain, drops joining hosts that have
+// timed out, and admits the others.
 void maintain_voters(step_context& ctx);
 
 void handle(step_context& ctx, vote_request const& m);
--- a/packages/control/jackdawhall/control/replication.cpp
+++ b/packages/control/jackdawhall/control/replication.cpp
@@ -268,6 +268,7 @@
     p.needs_snapshot_ = false;
     advance_commit(ctx);
     replicate_to(ctx, m.voter_, false);
+    admit_joining_hosts(ctx);
 }
 
 void handle(step_context& ctx, install_snapshot const& m)
--- a/test/correctness/removed_voter_returns.cpp
+++ b/test/correctness/removed_voter_returns.cpp
@@ -122,3 +122,51 @@
     fleet.start(down);
     CHECK(fleet.run_until([&] { return all_vote(fleet); }, 4s));
 }
+
+// catchUp of the sites is 4 s; the bound keeps a quarter of it.
+TEST_CASE("hosts that lost their disks vote again within 3 s")
+{
+    memory_fleet fleet(five_hosts(GENERATE(range(1, 41))));
+    REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
+    std::size_t const first = fleet.leader().value();
+    std::size_t const second = follower(fleet, 0);
+    restart_empty(fleet, first);
+    restart_empty(fleet, second);
+    duration const back = fleet.now();
+    CHECK(fleet.run_until([&] { return all_vote(fleet); }, 8s));
+    CHECK(fleet.now() - back < 3s);
+}
+
+// The configuration was lost for good: the group still had to take them in.
+TEST_CASE("two lose their disks, and 4.1 s later two others do")
+{
+    memory_fleet fleet(five_hosts(GENERATE(range(1, 41))));
+    REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
+    std::size_t const first = fleet.leader().value();
+    std::size_t const second = follower(fleet, 0);
+    restart_empty(fleet, first);
+    restart_empty(fleet, second);
+    fleet.run_for(4100ms);
+    make_change(fleet, {put_account("kept", 1, 1)});
+    for (std::size_t const i : {2U, 3U})
+        restart_empty(fleet, (first + i) % control_hosts);
+    CHECK(fleet.run_until(
+        [&] { return holds(fleet, (first + 2) % control_hosts, 1); }, 8s));
+    CHECK(fleet.run_until([&] { return all_vote(fleet); }, 1s));
+}
+
+// Removal before the addition would leave too few disks to commit anything.
+TEST_CASE("one of as few voters as copies are needed may lose its disk")
+{
+    fleet_options o = five_hosts(GENERATE(range(1, 9)));
+    o.hosts_ = o.control_hosts_ = 3;
+    memory_fleet fleet(o);
+    fleet.run_for(6s);
+    make_change(fleet, {put_account("kept", 1, 1)});
+    std::size_t const lost = (fleet.leader().value() + 1) % 3;
+    restart_empty(fleet, lost);
+    CHECK(fleet.run_until([&] { return is_leaders_voter(fleet, lost); }, 4s));
+    fleet.run_for(1s);
+    make_change(fleet, {put_account("after", 1, 1)});
+    CHECK(fleet.control_of(0).consensus_.log_.voters().size() == 3);
+}
