Bound the log by its bytes

Operators saw every core process end at its limit of memory after some hundred changes of a large configuration, without any fault or after a restart. The log was compacted after 5,120 entries only, whatever their size, and an entry with a document of 1,386 routes is some 400 kB.

Each entry now has an estimated size, a pure function of its contents, and the log keeps the running total of it. Two copies of the log are gone as well: committed entries are a range of the log and no longer copied before they are applied, and recovered entries are moved.

--- a/packages/control/jackdawhall/control/consensus.cpp
+++ b/packages/control/jackdawhall/control/consensus.cpp
@@ -54,8 +54,12 @@
 void deliver_committed(step_context& ctx)
 {
     consensus_state& s = ctx.state_;
-    while (s.delivered_ < s.commit_)
-        ctx.output_.committed_.push_back(s.log_.at(++s.delivered_));
+    if (s.delivered_ >= s.commit_)
+        return;
+    log_range& committed = ctx.output_.committed_;
+    if (committed.after_ == committed.last_)
+        committed.after_ = s.delivered_;
+    committed.last_ = s.delivered_ = s.commit_;
 }
 
 } // namespace detail
@@ -123,6 +127,7 @@
     s.settings_ = std::move(settings);
     s.self_ = std::move(disk.self_);
     s.hard_state_ = std::move(disk.hard_state_);
+    s.snapshot_bytes_ = estimated_size(disk.snapshot_);
     s.log_ = entry_log(
         disk.snapshot_.last_index_, disk.snapshot_.last_term_,
         std::move(disk.snapshot_.voters_), std::move(disk.entries_));
@@ -206,12 +211,12 @@
     store_number const number = ++s.last_store_;
     // The store holds the entries after the snapshot as well.
     s.pending_stores_.push_back({number, s.log_.last_index()});
-    std::vector<log_entry> kept = s.log_.entries_from(index + 1, SIZE_MAX);
+    std::vector<log_entry> kept =
+        s.log_.entries_from(index + 1, {SIZE_MAX, SIZE_MAX});
+    s.snapshot_bytes_ = estimated_size(taken);
     ctx.output_.effects_.push_back(store_snapshot{
         number, std::move(taken), s.hard_state_, std::move(kept)});
-    std::size_t const trailing = s.settings_.trailing_entries_;
-    if (index > s.log_.base_index() + trailing)
-        s.log_.compact(index - trailing);
+    s.log_.compact(s.log_.start_of_tail(index, s.settings_.trailing_));
     return finish(std::move(ctx));
 }
 
--- a/packages/control/jackdawhall/control/consensus.hpp
+++ b/packages/control/jackdawhall/control/consensus.hpp
@@ -43,9 +43,11 @@
     duration heartbeat_ = std::chrono::milliseconds(200);
     duration election_min_ = std::chrono::milliseconds(1000);
     duration election_max_ = std::chrono::milliseconds(2000);
-    std::size_t batch_entries_ = 512;     // maximum in one append_request
-    std::size_t snapshot_entries_ = 4096; // minimum between two snapshots
-    std::size_t trailing_entries_ = 1024; // kept for lagging followers
+    std::size_t batch_entries_ = 512; // maximum in one append_request
+    // Between two snapshots, by one of the two. A state that is larger than
+    // the bytes is stored once the log has grown by its size.
+    log_limits snapshot_interval_ = {4096, 8 << 20};
+    log_limits trailing_ = {1024, 4 << 20}; // kept for lagging followers
     auto operator<=>(consensus_settings const&) const = default;
 };
 
@@ -122,10 +124,11 @@
     entry_log log_;
     role role_ = follower{};
     log_index commit_ = 0;
-    log_index delivered_ = 0; // last entry put in consensus_output::committed_
+    log_index delivered_ = 0; // last entry of a consensus_output::committed_
     log_index durable_ = 0;   // last entry synced to this host's disk
     store_number last_store_ = 0;
     std::deque<pending_store> pending_stores_;
+    std::size_t snapshot_bytes_ = 0; // estimated size of the latest snapshot
     instant election_deadline_;
     instant no_vote_until_; // refuses vote requests before this instant
     instant next_join_request_;
@@ -139,11 +142,19 @@
     auto operator<=>(consensus_state const&) const = default;
 };
 
+// Entries after `after_`, up to and including `last_`; empty if they are equal.
+struct log_range
+{
+    log_index after_ = 0;
+    log_index last_ = 0;
+    auto operator<=>(log_range const&) const = default;
+};
+
 // Output of a step, for the filters after run_consensus.
 struct consensus_output
 {
     effects effects_;
-    std::vector<log_entry> committed_;           // in log order
+    log_range committed_;                        // delivered by the step
     std::optional<snapshot> installed_snapshot_; // replaces the state machine
     std::vector<voter> snapshot_targets_; // peers to pass to send_snapshot
     bool became_leader_ = false;
@@ -181,7 +192,7 @@
 propose(consensus_state state, std::vector<command> commands, instant now);
 
 // Stores the snapshot `taken` and drops the entries it covers, except for the
-// last trailing_entries_.
+// last ones, as far as trailing_ allows.
 consensus_step compact(consensus_state state, snapshot taken);
 
 // Sends `taken` to `target`, whose next entry was compacted. Does nothing
--- a/packages/control/jackdawhall/control/entry_log.hpp
+++ b/packages/control/jackdawhall/control/entry_log.hpp
@@ -11,6 +11,14 @@
 namespace jackdawhall::control
 {
 
+// Bounds on a sequence of entries.
+struct log_limits
+{
+    std::size_t entries_ = 0;
+    std::size_t bytes_ = 0; // by estimated_size
+    auto operator<=>(log_limits const&) const = default;
+};
+
 class entry_log
 {
 public:
@@ -29,9 +37,17 @@
     // Entry at `index`. Requires base_index() < index <= last_index().
     log_entry const& at(log_index index) const;
 
-    // At most `limit` entries, starting at `first`.
+    // The entries from `first` on, as far as `limits` allow.
     std::vector<log_entry>
-    entries_from(log_index first, std::size_t limit) const;
+    entries_from(log_index first, log_limits limits) const;
+
+    // Estimated size of the entries after `after`, up to and including `last`.
+    // Only those held count.
+    std::size_t bytes_between(log_index after, log_index last) const;
+
+    // Index after which the entries up to and including `last` are within
+    // `limits`. May be `last` itself.
+    log_index start_of_tail(log_index last, log_limits limits) const;
 
     // Voters of the latest voters_command, committed or not; the base's if
     // there is none.
@@ -53,11 +69,16 @@
 
 private:
     void recompute_voters();
+    std::size_t end_of(log_index index) const;
 
     log_index base_index_ = 0;
     term_number base_term_ = 0;
     std::vector<voter> base_voters_;
     std::deque<log_entry> entries_;
+    // For each entry, the estimated size of all entries that were ever appended
+    // up to it and not truncated.
+    std::deque<std::size_t> ends_;
+    std::size_t base_end_ = 0; // the same for the base
     std::vector<voter> voters_;
     log_index voters_index_ = 0;
 };
--- a/packages/control/jackdawhall/control/pipeline_context.hpp
+++ b/packages/control/jackdawhall/control/pipeline_context.hpp
@@ -13,7 +13,7 @@
     input input_;
     clock_reading at_;
     effects effects_;
-    std::vector<log_entry> committed_;  // while processing input_
+    log_range committed_;               // while processing input_
     std::vector<apply_result> applied_; // results of committed_, in order
     bool became_leader_ = false;        // while processing input_
 };
--- a/packages/control/jackdawhall/control/replication.cpp
+++ b/packages/control/jackdawhall/control/replication.cpp
@@ -159,7 +159,7 @@
         return;
     }
     std::vector<log_entry> entries =
-        s.log_.entries_from(p.next_, s.settings_.batch_entries_);
+        s.log_.entries_from(p.next_, {s.settings_.batch_entries_, SIZE_MAX});
     if (entries.empty() && !heartbeat)
         return;
     append_request m;
@@ -291,6 +291,7 @@
         store_number const number = ++s.last_store_;
         s.pending_stores_.push_back({number, taken.last_index_});
         s.durable_ = 0;
+        s.snapshot_bytes_ = estimated_size(taken);
         ctx.output_.installed_snapshot_ = taken;
         ctx.output_.effects_.push_back(
             store_snapshot{number, taken, s.hard_state_, {}});
--- a/packages/control/jackdawhall/control/run_consensus.cpp
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -27,6 +27,22 @@
         m);
 }
 
+// Whether the delivered entries have reached a bound.
+bool is_log_long(consensus_state const& c, std::size_t claims)
+{
+    log_limits const& interval = c.settings_.snapshot_interval_;
+    log_limits const& trailing = c.settings_.trailing_;
+    log_index const base = c.log_.base_index();
+    // The cost of a snapshot grows with the number of claims and with the size
+    // of the state in it, so a larger one is written less often.
+    std::size_t const max_entries =
+        std::max(interval.entries_, claims) + trailing.entries_;
+    std::size_t const max_bytes =
+        std::max(interval.bytes_, c.snapshot_bytes_) + trailing.bytes_;
+    return c.delivered_ - base >= max_entries ||
+           c.log_.bytes_between(base, c.delivered_) >= max_bytes;
+}
+
 void send_snapshots(pipeline_context& p, std::vector<voter> const& targets)
 {
     for (voter const& target : targets)
@@ -51,14 +67,15 @@
     {
         // The snapshot covers all entries committed before it.
         p.state_.machine_ = from_snapshot(*out.installed_snapshot_);
-        p.committed_.clear();
+        p.committed_ = {};
     }
     std::move(
         out.effects_.begin(), out.effects_.end(),
         std::back_inserter(p.effects_));
-    std::move(
-        out.committed_.begin(), out.committed_.end(),
-        std::back_inserter(p.committed_));
+    if (p.committed_.after_ == p.committed_.last_)
+        p.committed_ = out.committed_;
+    else if (out.committed_.after_ != out.committed_.last_)
+        p.committed_.last_ = out.committed_.last_;
     p.became_leader_ = p.became_leader_ || out.became_leader_;
     send_snapshots(p, out.snapshot_targets_);
 }
@@ -99,10 +116,11 @@
 
 pipeline_context apply_committed(pipeline_context p)
 {
-    for (log_entry const& entry : p.committed_)
+    entry_log const& log = p.state_.consensus_.log_;
+    for (log_index i = p.committed_.after_ + 1; i <= p.committed_.last_; ++i)
     {
         apply_step step =
-            apply_command(std::move(p.state_.machine_), entry.command_);
+            apply_command(std::move(p.state_.machine_), log.at(i).command_);
         p.state_.machine_ = std::move(step.machine_);
         p.applied_.push_back(std::move(step.applied_));
     }
@@ -112,13 +130,7 @@
 pipeline_context compact_log(pipeline_context p)
 {
     consensus_state& c = p.state_.consensus_;
-    std::size_t const held = c.delivered_ - c.log_.base_index();
-    // The cost of a snapshot grows with the number of claims in it, so a larger
-    // claim ledger is written less often.
-    std::size_t const interval =
-        std::max(c.settings_.snapshot_entries_, p.state_.machine_.claim_count_);
-    std::size_t const max_held = interval + c.settings_.trailing_entries_;
-    if (held < max_held)
+    if (!is_log_long(c, p.state_.machine_.claim_count_))
         return p;
     snapshot taken = take_snapshot(
         p.state_.machine_, c.delivered_, *c.log_.term_at(c.delivered_),
--- a/packages/model/jackdawhall/model.hpp
+++ b/packages/model/jackdawhall/model.hpp
@@ -14,6 +14,7 @@
 #include <jackdawhall/model/request.hpp>
 #include <jackdawhall/model/secret.hpp>
 #include <jackdawhall/model/server.hpp>
+#include <jackdawhall/model/size.hpp>
 #include <jackdawhall/model/step.hpp>
 #include <jackdawhall/model/time.hpp>
 #include <jackdawhall/model/uuid.hpp>
