Bound what is sent to a peer by its bytes

A host that came back with an empty disk never joined again after some 160 changes of a large configuration: entries were sent in batches of up to 512, counted by entries alone, so that a batch was larger than a frame may be (64 MiB). The link was closed, and the next heartbeat began with the same batch.

A batch is now within 512 entries and 1 MiB, and one entry at least; nothing more is sent while 16 MiB are unacknowledged, which stays under what may wait on a link. An empty heartbeat is still sent then, and its answer says how far the peer is.

Seen before, with 180 entries of 400 kB:

batch_size.cpp:126: FAILED: REQUIRE( bytes_of(m) <= message_limit ) (0x44aa200) <= 4194304 (0x400000) batch_size.cpp:141: FAILED: CHECK( sent.front().entries_.size() == 1 ) 4 == 1 batch_size.cpp:158: FAILED: CHECK( total < unacknowledged_limit ) (0x4448780) < (0x1800000)

Now "All tests passed (367 assertions in 3 test cases)".

--- a/packages/control/jackdawhall/control/consensus.hpp
+++ b/packages/control/jackdawhall/control/consensus.hpp
@@ -43,7 +43,10 @@
     duration heartbeat_ = std::chrono::milliseconds(200);
     duration election_min_ = std::chrono::milliseconds(1000);
     duration election_max_ = std::chrono::milliseconds(2000);
-    std::size_t batch_entries_ = 512; // maximum in one append_request
+    // Maximum in one append_request, which holds one entry at least.
+    log_limits batch_ = {512, 1 << 20};
+    // No entries are sent to a peer while it has this much to acknowledge.
+    std::size_t unacknowledged_bytes_ = 16 << 20;
     // Between two snapshots, by one of the two. A state that is larger than
     // the bytes is stored once the log has grown by its size.
     log_limits snapshot_interval_ = {4096, 8 << 20};
--- a/packages/control/jackdawhall/control/replication.cpp
+++ b/packages/control/jackdawhall/control/replication.cpp
@@ -104,6 +104,20 @@
         s.complete_as_of_ = complete;
 }
 
+// The entries to send next; none while too much is unacknowledged.
+std::vector<log_entry> next_batch(consensus_state const& s, progress const& p)
+{
+    std::size_t const unacknowledged =
+        s.log_.bytes_between(p.match_, p.next_ - 1);
+    if (unacknowledged >= s.settings_.unacknowledged_bytes_)
+        return {};
+    std::vector<log_entry> entries =
+        s.log_.entries_from(p.next_, s.settings_.batch_);
+    if (!entries.empty())
+        return entries;
+    return s.log_.entries_from(p.next_, {1, SIZE_MAX});
+}
+
 bool contains_change(entry_log const& log, log_index first, log_index last)
 {
     for (log_index i = first; i <= last; ++i)
@@ -158,8 +172,7 @@
         }
         return;
     }
-    std::vector<log_entry> entries =
-        s.log_.entries_from(p.next_, {s.settings_.batch_entries_, SIZE_MAX});
+    std::vector<log_entry> entries = next_batch(s, p);
     if (entries.empty() && !heartbeat)
         return;
     append_request m;
