--- a/packages/daemon/jackdawhall/daemon/control_disk.cpp
+++ b/packages/daemon/jackdawhall/daemon/control_disk.cpp
@@ -24,6 +24,8 @@
     r.entries_.push_back(std::move(entry));
 }
 
+} // namespace
+
 leaf::result<void>
 take_record(control::recovered_state& r, journal::raw_record const& record)
 {
@@ -59,15 +61,10 @@
     }
 }
 
-} // namespace
-
-leaf::result<control::recovered_state> recover(
-    std::vector<journal::raw_record> const& records, host_name const& self,
-    random_source& random, bool& new_identity)
+leaf::result<void> check_identity(
+    control::recovered_state& r, host_name const& self, random_source& random,
+    bool& new_identity)
 {
-    control::recovered_state r;
-    for (journal::raw_record const& record : records)
-        BOOST_LEAF_CHECK(take_record(r, record));
     new_identity = r.self_.host_.empty();
     if (new_identity)
         r.self_ = {self, random.next()};
@@ -75,7 +72,7 @@
         return leaf::new_error(user_error{
             "the data folder belongs to host " + r.self_.host_.str(),
             "name this host's own folder in data_folder"});
-    return r;
+    return {};
 }
 
 journal::raw_record identity_record(voter const& self)
--- a/packages/daemon/jackdawhall/daemon/control_disk.hpp
+++ b/packages/daemon/jackdawhall/daemon/control_disk.hpp
@@ -8,12 +8,16 @@
 namespace jackdawhall::daemon
 {
 
-// What the records of a journal say. A journal without an identity is that of a
-// new disk: it gets a random one, which the caller must store and sync before
-// the node starts.
-leaf::result<control::recovered_state> recover(
-    std::vector<journal::raw_record> const& records, host_name const& self,
-    random_source& random, bool& new_identity);
+// Adds what the next record of a journal says.
+leaf::result<void>
+take_record(control::recovered_state& r, journal::raw_record const& record);
+
+// Checks what the records of a journal say. A journal without an identity is
+// that of a new disk: it gets a random one, which the caller must store and
+// sync before the node starts.
+leaf::result<void> check_identity(
+    control::recovered_state& r, host_name const& self, random_source& random,
+    bool& new_identity);
 
 journal::raw_record identity_record(voter const& self);
 
--- a/packages/daemon/jackdawhall/daemon/daemon_control.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_control.cpp
@@ -37,15 +37,16 @@
 
 leaf::result<void> daemon::start_control()
 {
+    control::recovered_state disk;
     BOOST_LEAF_AUTO(
-        opened, journal::journal_file::open(settings_.data_folder_));
+        opened, journal::journal_file::open(
+                    settings_.data_folder_, [&](journal::raw_record const& r)
+                    { return take_record(disk, r); }));
     journal_.emplace(std::move(opened));
     random_source random = random_source::from_system_entropy();
     bool new_identity = false;
-    BOOST_LEAF_AUTO(
-        disk,
-        recover(journal_->recovered(), settings_.host_, random, new_identity));
-    journal_->forget_recovered();
+    BOOST_LEAF_CHECK(
+        check_identity(disk, settings_.host_, random, new_identity));
     if (new_identity)
     {
         BOOST_LEAF_CHECK(journal_->append(identity_record(disk.self_)));
--- a/packages/journal/jackdawhall/journal/journal_file.cpp
+++ b/packages/journal/jackdawhall/journal/journal_file.cpp
@@ -4,7 +4,6 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <optional>
 #include <sys/file.h>
 #include <sys/stat.h>
@@ -13,18 +12,14 @@
 
 #include <xxhash.h>
 
+#include <jackdawhall/journal/journal_reader.hpp>
+
 namespace jackdawhall::journal
 {
 
 namespace
 {
 
-// u32 length of the bytes, u64 checksum, u8 kind, u64 synced size; then bytes.
-constexpr std::size_t header_bytes = 21;
-constexpr std::size_t checksum_offset = 4;
-constexpr std::size_t kind_offset = 12;
-constexpr std::size_t synced_offset = 13;
-
 constexpr char file_name[] = "/journal";
 constexpr char fresh_name[] = "journal.new.";
 constexpr char lock_name[] = "/lock";
@@ -35,14 +30,6 @@
     bytes.append(reinterpret_cast<char const*>(&value), sizeof value);
 }
 
-template <class Integer>
-Integer get(std::string const& bytes, std::size_t at)
-{
-    Integer value{};
-    std::memcpy(&value, bytes.data() + at, sizeof value);
-    return value;
-}
-
 std::string frame(raw_record const& r, std::uint64_t synced)
 {
     std::string checked;
@@ -56,47 +43,6 @@
     return framed + checked;
 }
 
-struct parsed_record
-{
-    raw_record record_;
-    std::uint64_t synced_ = 0;
-    std::size_t end_ = 0; // where the next one begins
-};
-
-std::optional<parsed_record> parse(std::string const& file, std::size_t at)
-{
-    if (file.size() - at < header_bytes)
-        return std::nullopt;
-    auto const length = get<std::uint32_t>(file, at);
-    std::size_t const end = at + header_bytes + length;
-    if (length > max_record_bytes || end > file.size())
-        return std::nullopt;
-    auto const wanted = get<std::uint64_t>(file, at + checksum_offset);
-    char const* checked = file.data() + at + kind_offset;
-    if (XXH3_64bits(checked, end - at - kind_offset) != wanted)
-        return std::nullopt;
-    return parsed_record{
-        {get<std::uint8_t>(file, at + kind_offset),
-         file.substr(at + header_bytes, length)},
-        get<std::uint64_t>(file, at + synced_offset),
-        end};
-}
-
-// Whether a whole record after a damaged one at `at` says that the damaged one
-// had been synced.
-bool was_synced(std::string const& file, std::size_t at)
-{
-    for (std::size_t i = at + 1; i + header_bytes <= file.size(); ++i)
-    {
-        auto const synced = get<std::uint64_t>(file, i + synced_offset);
-        if (synced <= at || synced > file.size())
-            continue;
-        if (parse(file, i))
-            return true;
-    }
-    return false;
-}
-
 leaf::error_id disk_error(std::string const& what)
 {
     return leaf::new_error(internal_error{what + ": " + std::strerror(errno)});
@@ -107,17 +53,6 @@
     return leaf::new_error(user_error{what, mend});
 }
 
-leaf::result<std::string> read_whole(std::string const& path)
-{
-    std::ifstream in(path, std::ios::binary);
-    std::string bytes(
-        (std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
-    if (in.bad())
-        return bad_folder(
-            path + " cannot be read", "check the disk and the permissions");
-    return bytes;
-}
-
 // Files begun by replace() that never came into force.
 void remove_unfinished(std::string const& folder)
 {
@@ -130,6 +65,35 @@
     }
 }
 
+// Passes the records on and returns where the last undamaged one ends.
+leaf::result<std::uint64_t> read_records(
+    int file, std::uint64_t size, std::string const& folder,
+    record_sink const& sink)
+{
+    journal_reader reader(file, size);
+    std::uint64_t at = 0;
+    while (true)
+    {
+        BOOST_LEAF_ASSIGN(
+            std::optional<record_place> const next, reader.find(at));
+        if (!next)
+            break;
+        BOOST_LEAF_ASSIGN(std::string bytes, reader.read(*next));
+        BOOST_LEAF_CHECK(sink({next->kind_, std::move(bytes)}));
+        at = next->end();
+    }
+    if (at == size)
+        return at;
+    BOOST_LEAF_ASSIGN(bool const damaged, reader.was_synced(at));
+    if (damaged)
+        return bad_folder(
+            "the journal in " + folder + " is damaged at byte " +
+                std::to_string(at),
+            "move the folder away and start with an empty one; this host then "
+            "joins the others as one that lost its disk");
+    return at;
+}
+
 } // namespace
 
 leaf::result<void> run(sync_job const& job)
@@ -151,6 +115,22 @@
 }
 
 leaf::result<journal_file> journal_file::open(std::string const& folder)
+{
+    std::vector<raw_record> found;
+    BOOST_LEAF_AUTO(
+        j, open(
+               folder,
+               [&](raw_record r) -> leaf::result<void>
+               {
+                   found.push_back(std::move(r));
+                   return {};
+               }));
+    j.recovered_ = std::move(found);
+    return j;
+}
+
+leaf::result<journal_file>
+journal_file::open(std::string const& folder, record_sink const& sink)
 {
     journal_file j;
     j.folder_ = folder;
@@ -166,22 +146,21 @@
             "the data folder " + folder + " is in use by another process",
             "stop the other daemon, or give this one its own folder");
     remove_unfinished(folder);
-    BOOST_LEAF_ASSIGN(std::string const file, read_whole(folder + file_name));
-    std::size_t at = 0;
-    while (std::optional<parsed_record> next = parse(file, at))
-    {
-        at = next->end_;
-        j.recovered_.push_back(std::move(next->record_));
-    }
-    if (at < file.size() && was_synced(file, at))
-        return bad_folder(
-            "the journal in " + folder + " is damaged at byte " +
-                std::to_string(at),
-            "move the folder away and start with an empty one; this host then "
-            "joins the others as one that lost its disk");
     j.file_ = ::open(
         (folder + file_name).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-    if (j.file_ < 0 || ::ftruncate(j.file_, static_cast<off_t>(at)) != 0 ||
+    struct stat status
+    {
+    };
+    if (j.file_ < 0 || ::fstat(j.file_, &status) != 0)
+        return bad_folder(
+            "the journal in " + folder +
+                " cannot be opened: " + std::strerror(errno),
+            "check the disk and the permissions");
+    BOOST_LEAF_ASSIGN(
+        std::uint64_t const at,
+        read_records(
+            j.file_, static_cast<std::uint64_t>(status.st_size), folder, sink));
+    if (::ftruncate(j.file_, static_cast<off_t>(at)) != 0 ||
         ::lseek(j.file_, 0, SEEK_END) < 0)
         return disk_error("the journal cannot be opened");
     j.size_ = at;
--- a/packages/journal/jackdawhall/journal/journal_file.hpp
+++ b/packages/journal/jackdawhall/journal/journal_file.hpp
@@ -11,6 +11,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
 // Largest record.
 inline constexpr std::uint32_t max_record_bytes = 1 << 30;
 
+// Takes a record that was read, in order. What it fails with ends the reading.
+using record_sink = std::function<leaf::result<void>(raw_record)>;
+
 // System calls to make, in order.
 struct sync_job
 {
@@ -50,6 +54,11 @@
     // Opens or creates the journal in `folder`, and cuts off a torn tail. Fails
     // with user_error if the folder cannot be used, is used by another process,
     // or holds a damaged journal.
+    // The records are passed to `sink` one by one, and only one is held.
+    static leaf::result<journal_file>
+    open(std::string const& folder, record_sink const& sink);
+
+    // The same, but keeps the records for recovered().
     static leaf::result<journal_file> open(std::string const& folder);
 
     journal_file(journal_file&& other) noexcept;
@@ -60,7 +69,6 @@
 
     // Records found by open(), in order.
     std::vector<raw_record> const& recovered() const { return recovered_; }
-    void forget_recovered() { recovered_.clear(); }
 
     // Writes a record after the others.
     leaf::result<void> append(raw_record const& r);
