--- a/packages/control/jackdawhall/control/replication.cpp
+++ b/packages/control/jackdawhall/control/replication.cpp
@@ -118,6 +118,16 @@
     return s.log_.entries_from(p.next_, {1, SIZE_MAX});
 }
 
+// The entries that follow the snapshot in the log; none if the log has another
+// entry where the snapshot ends. This host may have acknowledged them.
+std::vector<log_entry>
+entries_after(entry_log const& log, snapshot const& taken)
+{
+    if (log.term_at(taken.last_index_) != taken.last_term_)
+        return {};
+    return log.entries_from(taken.last_index_ + 1, {SIZE_MAX, SIZE_MAX});
+}
+
 bool contains_change(entry_log const& log, log_index first, log_index last)
 {
     for (log_index i = first; i <= last; ++i)
@@ -296,19 +306,20 @@
     snapshot const& taken = m.snapshot_;
     if (taken.last_index_ > s.commit_)
     {
+        std::vector<log_entry> kept = entries_after(s.log_, taken);
         s.log_ =
-            entry_log(taken.last_index_, taken.last_term_, taken.voters_, {});
+            entry_log(taken.last_index_, taken.last_term_, taken.voters_, kept);
         s.commit_ = s.delivered_ = taken.last_index_;
         // Nothing counts as durable until the snapshot is synced; earlier
         // stores are of the log that it replaces.
         s.pending_stores_.clear();
         store_number const number = ++s.last_store_;
-        s.pending_stores_.push_back({number, taken.last_index_});
+        s.pending_stores_.push_back({number, s.log_.last_index()});
         s.durable_ = 0;
         s.snapshot_bytes_ = estimated_size(taken);
         ctx.output_.installed_snapshot_ = taken;
         ctx.output_.effects_.push_back(
-            store_snapshot{number, taken, s.hard_state_, {}});
+            store_snapshot{number, taken, s.hard_state_, std::move(kept)});
     }
     answer_append(ctx, header, true, taken.last_index_);
 }
