--- a/packages/control/jackdawhall/control/entry_log.cpp
+++ b/packages/control/jackdawhall/control/entry_log.cpp
@@ -69,6 +69,19 @@
     return start;
 }
 
+std::vector<voter> entry_log::voters_at(log_index index) const
+{
+    if (index >= voters_index_)
+        return voters_;
+    for (log_index i = index; i > base_index_; --i)
+    {
+        if (voters_command const* changed =
+                std::get_if<voters_command>(&at(i).command_))
+            return changed->voters_;
+    }
+    return base_voters_;
+}
+
 void entry_log::append(log_entry entry)
 {
     if (voters_command const* changed =
--- a/packages/control/jackdawhall/control/entry_log.hpp
+++ b/packages/control/jackdawhall/control/entry_log.hpp
@@ -53,6 +53,9 @@
     // there is none.
     std::vector<voter> const& voters() const { return voters_; }
 
+    // Voters as of the entry at `index`, which is the base or a later one.
+    std::vector<voter> voters_at(log_index index) const;
+
     // Index of the latest voters_command; the base's if there is none.
     log_index voters_index() const { return voters_index_; }
 
--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -10,7 +10,7 @@
 // Runs the filters of a control host, in order.
 node_step run(state s, input in, clock_reading at)
 {
-    pipeline_context p{std::move(s), std::move(in), at, {}, {}, {}, false};
+    pipeline_context p{std::move(s), std::move(in), at, {}, {}, {}, false, {}};
     p = propose_operator_changes(std::move(p));
     p = propose_claims(std::move(p));
     p = count_crashes(std::move(p));
@@ -22,6 +22,7 @@
     p = distribute_configuration(std::move(p));
     p = exchange_membership(std::move(p));
     p = grant_tokens(std::move(p));
+    p = send_snapshots(std::move(p));
     p = compact_log(std::move(p));
     return {std::move(p.state_), std::move(p.effects_)};
 }
--- a/packages/control/jackdawhall/control/pipeline_context.hpp
+++ b/packages/control/jackdawhall/control/pipeline_context.hpp
@@ -13,9 +13,10 @@
     input input_;
     clock_reading at_;
     effects effects_;
-    log_range committed_;               // while processing input_
-    std::vector<apply_result> applied_; // results of committed_, in order
-    bool became_leader_ = false;        // while processing input_
+    log_range committed_;                 // while processing input_
+    std::vector<apply_result> applied_;   // results of committed_, in order
+    bool became_leader_ = false;          // while processing input_
+    std::vector<voter> snapshot_targets_; // peers that need a snapshot
 };
 
 // Handles changes and documents from this host's operator or from another
@@ -61,6 +62,10 @@
 // timer expires.
 pipeline_context grant_tokens(pipeline_context p);
 
+// Sends snapshots to the followers that need one. Runs once all that is
+// delivered is applied, so that a snapshot holds what its index says.
+pipeline_context send_snapshots(pipeline_context p);
+
 // Takes a snapshot and compacts the log once enough entries have accumulated.
 pipeline_context compact_log(pipeline_context p);
 
@@ -72,8 +77,7 @@
     return r ? std::get_if<M>(&r->message_) : nullptr;
 }
 
-// Adds the output of a consensus step to the context, and sends snapshots to
-// the followers that need one.
+// Adds the output of a consensus step to the context.
 void add_consensus_output(pipeline_context& p, consensus_step step);
 
 // Appends commands to the log. This host must be the leader.
--- a/packages/control/jackdawhall/control/run_consensus.cpp
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace jackdawhall::control
 {
@@ -43,20 +44,6 @@
            c.log_.bytes_between(base, c.delivered_) >= max_bytes;
 }
 
-void send_snapshots(pipeline_context& p, std::vector<voter> const& targets)
-{
-    for (voter const& target : targets)
-    {
-        consensus_state& c = p.state_.consensus_;
-        log_index const delivered = c.delivered_;
-        snapshot const taken = take_snapshot(
-            p.state_.machine_, delivered, c.log_.term_at(delivered).value_or(0),
-            c.log_.voters());
-        add_consensus_output(
-            p, send_snapshot(std::move(c), target, taken, p.at_.now_));
-    }
-}
-
 } // namespace
 
 void add_consensus_output(pipeline_context& p, consensus_step step)
@@ -77,7 +64,9 @@
     else if (out.committed_.after_ != out.committed_.last_)
         p.committed_.last_ = out.committed_.last_;
     p.became_leader_ = p.became_leader_ || out.became_leader_;
-    send_snapshots(p, out.snapshot_targets_);
+    p.snapshot_targets_.insert(
+        p.snapshot_targets_.end(), out.snapshot_targets_.begin(),
+        out.snapshot_targets_.end());
 }
 
 void propose_commands(pipeline_context& p, std::vector<command> commands)
@@ -127,6 +116,21 @@
     return p;
 }
 
+pipeline_context send_snapshots(pipeline_context p)
+{
+    for (voter const& target : std::exchange(p.snapshot_targets_, {}))
+    {
+        consensus_state& c = p.state_.consensus_;
+        log_index const delivered = c.delivered_;
+        snapshot const taken = take_snapshot(
+            p.state_.machine_, delivered, c.log_.term_at(delivered).value_or(0),
+            c.log_.voters_at(delivered));
+        add_consensus_output(
+            p, send_snapshot(std::move(c), target, taken, p.at_.now_));
+    }
+    return p;
+}
+
 pipeline_context compact_log(pipeline_context p)
 {
     consensus_state& c = p.state_.consensus_;
@@ -134,7 +138,7 @@
         return p;
     snapshot taken = take_snapshot(
         p.state_.machine_, c.delivered_, *c.log_.term_at(c.delivered_),
-        c.log_.voters());
+        c.log_.voters_at(c.delivered_));
     add_consensus_output(p, compact(std::move(c), std::move(taken)));
     return p;
 }
