Close connections that turn idle while a server stops, and don't nest requests

A connection whose answer was begun before the stop signal was kept open after its last byte, and held the stop up until the end of the drain period. Many requests in one write that are answered at once nested a dozen frames each: some thousands could exhaust the stack. Evidence: the review, by reading. The test of 100,000 requests in one write was added with the change and not run on the code before.

--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -60,7 +60,8 @@
     std::uint64_t number_ = 0;
     std::string method_;
     bool keep_alive_ = true;
-    bool last_ = false; // no request follows the answer
+    bool last_ = false;   // no request follows the answer
+    bool taking_ = false; // take_bytes is at work on it
     timer_ptr timer_;
     std::unique_ptr<byte_stream> stream_;
 };
@@ -150,7 +151,24 @@
         take_bytes(c);
 }
 
+// An answer that is given at once begins the next request: the loop takes it,
+// so that many requests in one read don't nest.
 void http_server::take_bytes(connection& c)
+{
+    if (std::exchange(c.taking_, true))
+        return;
+    std::string const& in = c.stream_->input();
+    std::size_t before = 0;
+    do
+    {
+        before = in.size();
+        take_part(c);
+    } while (c.phase_ == phase::reading && c.stream_->is_open() &&
+             !in.empty() && in.size() < before);
+    c.taking_ = false;
+}
+
+void http_server::take_part(connection& c)
 {
     std::string& in = c.stream_->input();
     if (c.phase_ == phase::lingering)
@@ -230,7 +248,8 @@
 {
     if (c.phase_ != phase::writing)
         return; // 100 Continue
-    if (c.last_)
+    bool const stopped = listener_ < 0 && !c.stream_->has_unread();
+    if (c.last_ || stopped)
         linger(c);
     else
         begin_request(c);
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -72,6 +72,7 @@
 
     void accept();
     void take_bytes(connection& c);
+    void take_part(connection& c);
     void take_request(connection& c);
     void take_end(connection& c);
     void refuse(connection& c, std::uint16_t status);
--- a/test/correctness/endless_requests.cpp
+++ b/test/correctness/endless_requests.cpp
@@ -2,6 +2,8 @@
 // refused long before their time is over.
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -56,7 +58,7 @@
     next = make_timer(
         [&]
         {
-            if (caller->all_written())
+            if (caller->unwritten() == 0)
                 caller->write(part);
             set_timer_due(next, read_clocks().now_);
         });
@@ -89,3 +91,44 @@
     std::string const got = answer_to(begin, part);
     CHECK(got.substr(0, 10) == "HTTP/1.1 4");
 }
+
+// Each answer that was given at once began the next request from within.
+TEST_CASE("thousands of requests in one write don't exhaust the stack")
+{
+    constexpr std::size_t count = 100'000;
+    event_loop loop;
+    endpoint const at{"127.0.0.1", free_port()};
+    std::unique_ptr<http_server> made;
+    made = std::make_unique<http_server>(
+        at, 10,
+        http_handlers{
+            [&](std::uint64_t number, request, std::string const&) {
+                made->answer(number, answer{200, {}, "x"});
+            },
+            [](std::uint64_t) {}});
+    REQUIRE(made->listen("test"));
+    std::size_t answers = 0;
+    std::unique_ptr<byte_stream> caller;
+    caller = std::make_unique<byte_stream>(
+        begin_connect(at),
+        stream_handlers{
+            [&]
+            {
+                std::string& in = caller->input();
+                answers += static_cast<std::size_t>(
+                    std::count(in.begin(), in.end(), 'x'));
+                in.clear();
+                if (answers >= count)
+                    loop.quit();
+            },
+            [&](stream_end) { loop.quit(); },
+            {}});
+    timer_ptr const end = make_timer([&] { loop.quit(); });
+    set_timer_due(end, read_clocks().now_ + give_up_after);
+    std::string requests;
+    for (std::size_t i = 0; i < count; ++i)
+        requests += "GET / HTTP/1.1\r\n\r\n";
+    caller->write(requests);
+    loop.run();
+    CHECK(answers == count);
+}
