--- a/test/correctness/removed_voter_returns.cpp
+++ b/test/correctness/removed_voter_returns.cpp
@@ -123,6 +123,29 @@
     CHECK(fleet.run_until([&] { return all_vote(fleet); }, 4s));
 }
 
+// The new leader knew the removed host neither as a voter nor as a peer.
+TEST_CASE("a voter removed while it was down joins under a new leader")
+{
+    memory_fleet fleet(five_hosts(GENERATE(range(1, 9))));
+    REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
+    std::size_t const first_leader = fleet.leader().value();
+    std::size_t const down = follower(fleet, 3);
+    voter const removed = fleet.control_of(down).consensus_.self_;
+    fleet.kill(down);
+    fleet.run_for(3s); // longer than dead_voter_timeout
+    restart_empty(fleet, follower(fleet, 2));
+    fleet.run_for(3s);
+    std::vector<voter> const voters =
+        fleet.control_of(first_leader).consensus_.log_.voters();
+    REQUIRE(std::find(voters.begin(), voters.end(), removed) == voters.end());
+    fleet.kill(first_leader);
+    fleet.run_for(300ms);
+    fleet.start(first_leader);
+    fleet.run_for(700ms);
+    fleet.start(down);
+    CHECK(fleet.run_until([&] { return all_vote(fleet); }, 6s));
+}
+
 // catchUp of the sites is 4 s; the bound keeps a quarter of it.
 TEST_CASE("hosts that lost their disks vote again within 3 s")
 {
