--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -147,7 +147,7 @@
 
     control::store_number last_store_ = 0;
     control::store_number synced_store_ = 0;
-    bool syncing_ = false;
+    bool syncing_ = false;        // a sync job is in progress
     std::uint64_t disk_runs_ = 0; // of the control node, in this process
     loop::event_loop::delayed restart_;
     std::deque<held_effect> held_;
--- a/packages/daemon/jackdawhall/daemon/daemon_control.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_control.cpp
@@ -138,16 +138,18 @@
         {{"what", what}});
     ++disk_runs_;
     control_.reset();
-    journal_.reset();
     held_.clear();
     last_store_ = synced_store_ = 0;
-    syncing_ = false;
     fail_pending_changes("the disk failed");
     restart_.set(disk_retry, [this] { restart_control(); });
 }
 
 void daemon::restart_control()
 {
+    // A job in progress still uses the files of the journal that failed.
+    if (syncing_)
+        return restart_.set(disk_retry, [this] { restart_control(); });
+    journal_.reset();
     bool const started = leaf::try_handle_all(
         [&]() -> leaf::result<bool>
         {
@@ -167,7 +169,7 @@
 
 void daemon::start_sync()
 {
-    if (syncing_ || !journal_ || last_store_ == synced_store_)
+    if (syncing_ || !control_ || last_store_ == synced_store_)
         return;
     syncing_ = true;
     control::store_number const number = last_store_;
@@ -177,13 +179,13 @@
         job,
         [this, number, job, began, run = disk_runs_](std::string const& error)
         {
+            syncing_ = false;
             if (disk_runs_ != run)
                 return; // of a control node that has ended
             if (!error.empty())
                 return fail_disk(error);
             journal_->finish(job);
             sync_latency_.add(loop::read_clocks().now_ - began);
-            syncing_ = false;
             store_done(number);
         });
 }
--- a/packages/journal/jackdawhall/journal/journal_file.cpp
+++ b/packages/journal/jackdawhall/journal/journal_file.cpp
@@ -1,6 +1,7 @@
 #include <jackdawhall/journal/journal_file.hpp>
 
 #include <cerrno>
+#include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -188,7 +189,6 @@
     size_ = other.size_;
     synced_ = other.synced_;
     fresh_path_ = std::move(other.fresh_path_);
-    files_begun_ = other.files_begun_;
     recovered_ = std::move(other.recovered_);
     return *this;
 }
@@ -216,10 +216,9 @@
 
 leaf::result<void> journal_file::replace(std::vector<raw_record> const& records)
 {
-    std::string const path =
-        folder_ + "/" + fresh_name + std::to_string(++files_begun_);
-    int const fresh =
-        ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    // Never the name of an earlier file, which a job may still rename.
+    std::string path = folder_ + "/" + fresh_name + "XXXXXX";
+    int const fresh = ::mkostemp(path.data(), O_CLOEXEC);
     if (fresh < 0)
         return disk_error("a new journal cannot be begun");
     old_files_.push_back(std::exchange(file_, fresh));
--- a/packages/journal/jackdawhall/journal/journal_file.hpp
+++ b/packages/journal/jackdawhall/journal/journal_file.hpp
@@ -96,7 +96,6 @@
     std::uint64_t size_ = 0;
     std::uint64_t synced_ = 0;
     std::string fresh_path_; // of a file not renamed into place yet
-    std::uint64_t files_begun_ = 0;
     std::vector<raw_record> recovered_;
 };
 
--- /dev/null
+++ b/test/error/journal_replaced.cpp
@@ -0,0 +1,60 @@
+// A new journal comes into force by its own sync job alone.
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+
+#include <jackdawhall/journal.hpp>
+
+using namespace jackdawhall;
+using journal::journal_file;
+using journal::raw_record;
+
+namespace
+{
+
+struct folder
+{
+    folder()
+    {
+        char name[] = "/tmp/jackdawhall-replaced-XXXXXX";
+        path_ = mkdtemp(name);
+    }
+    ~folder() { std::filesystem::remove_all(path_); }
+    folder(folder const&) = delete;
+    folder& operator=(folder const&) = delete;
+    std::string path_;
+};
+
+raw_record const first{3, "first"};
+raw_record const second{3, "second"};
+raw_record const third{3, "third"};
+
+void sync(journal_file& j)
+{
+    journal::sync_job const job = j.take_sync_job();
+    REQUIRE(journal::run(job));
+    j.finish(job);
+}
+
+} // namespace
+
+// A stalled job of a journal that had failed put an unsynced file in place.
+TEST_CASE("a job of a closed journal puts no later file into force")
+{
+    folder const f;
+    journal::sync_job stalled;
+    {
+        journal_file j = journal_file::open(f.path_).value();
+        REQUIRE(j.append(first));
+        sync(j);
+        REQUIRE(j.replace({second}));
+        stalled = j.take_sync_job();
+    }
+    {
+        journal_file j = journal_file::open(f.path_).value();
+        REQUIRE(j.replace({third}));
+        CHECK_FALSE(journal::run(stalled));
+    }
+    journal_file const j = journal_file::open(f.path_).value();
+    CHECK(j.recovered() == std::vector<raw_record>{first});
+}
