--- a/packages/journal/jackdawhall/journal/journal_file.cpp
+++ b/packages/journal/jackdawhall/journal/journal_file.cpp
@@ -189,6 +189,7 @@
     size_ = other.size_;
     synced_ = other.synced_;
     fresh_path_ = std::move(other.fresh_path_);
+    superseded_ = std::move(other.superseded_);
     recovered_ = std::move(other.recovered_);
     return *this;
 }
@@ -223,6 +224,8 @@
         return disk_error("a new journal cannot be begun");
     old_files_.push_back(std::exchange(file_, fresh));
     size_ = synced_ = 0;
+    if (!fresh_path_.empty())
+        superseded_.push_back(std::move(fresh_path_));
     fresh_path_ = path;
     std::string bytes;
     for (raw_record const& r : records)
@@ -252,6 +255,8 @@
     for (int const file : old_files_)
         ::close(file);
     old_files_.clear();
+    for (std::string const& path : std::exchange(superseded_, {}))
+        ::unlink(path.c_str()); // gone already if it was in force for a while
 }
 
 leaf::result<void> journal_file::write_all(std::string const& bytes)
--- a/packages/journal/jackdawhall/journal/journal_file.hpp
+++ b/packages/journal/jackdawhall/journal/journal_file.hpp
@@ -96,6 +96,7 @@
     std::uint64_t size_ = 0;
     std::uint64_t synced_ = 0;
     std::string fresh_path_; // of a file not renamed into place yet
+    std::vector<std::string> superseded_; // files that a newer one replaced
     std::vector<raw_record> recovered_;
 };
 
--- a/test/error/journal_replaced.cpp
+++ b/test/error/journal_replaced.cpp
@@ -1,7 +1,9 @@
-// A new journal comes into force by its own sync job alone.
+// A new journal comes into force by its own sync job alone, and leaves no file
+// behind.
 #include <catch2/catch.hpp>
 
 #include <filesystem>
+#include <set>
 
 #include <jackdawhall/journal.hpp>
 
@@ -36,6 +38,14 @@
     j.finish(job);
 }
 
+std::set<std::string> files_in(std::string const& path)
+{
+    std::set<std::string> names;
+    for (auto const& entry : std::filesystem::directory_iterator(path))
+        names.insert(entry.path().filename().string());
+    return names;
+}
+
 } // namespace
 
 // A stalled job of a journal that had failed put an unsynced file in place.
@@ -58,3 +68,18 @@
     journal_file const j = journal_file::open(f.path_).value();
     CHECK(j.recovered() == std::vector<raw_record>{first});
 }
+
+// Each took the room of a whole state until the next start.
+TEST_CASE("files that a newer one replaced before their sync are removed")
+{
+    folder const f;
+    journal_file j = journal_file::open(f.path_).value();
+    REQUIRE(j.replace({first}));
+    REQUIRE(j.replace({second}));
+    journal::sync_job const job = j.take_sync_job();
+    REQUIRE(j.replace({third}));
+    REQUIRE(journal::run(job));
+    j.finish(job);
+    sync(j);
+    CHECK(files_in(f.path_) == std::set<std::string>{"journal", "lock"});
+}
