Answer at once the changes that wait for a control node whose disk failed

What operators saw while the leader's disk was full: a change sent to another control host stayed unanswered for the whole second that they wait, and so did those of the next second, at one host after the other.

Cause: a control node that ends told its own operators that the outcome is unknown, and said nothing to the hosts that had forwarded changes to it; these waited for 5 s. What was forwarded while no node ran was dropped.

Now the node that ends tells all of them, and a host without a node answers what is forwarded to it. Whether the change was accepted is unknown, as before; the operator sends it again elsewhere.

--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -113,4 +113,14 @@
 // Earliest instant at which timer_expired has work to do.
 instant next_due(state const& s);
 
+// --- Without a node ---------------------------------------------------------
+
+// Reports of a node that ends, because its disk failed, to all that wait for
+// the outcome of a change: it is unknown.
+effects abandon_changes(state const& s);
+
+// Answer to a message for the control node of a host that runs none now; empty
+// if the sender waits for no answer.
+std::optional<outgoing> answer_without_node(message const& m);
+
 } // namespace jackdawhall::control
--- a/packages/control/jackdawhall/control/pipeline_context.hpp
+++ b/packages/control/jackdawhall/control/pipeline_context.hpp
@@ -69,6 +69,11 @@
 // Takes a snapshot and compacts the log once enough entries have accumulated.
 pipeline_context compact_log(pipeline_context p);
 
+// The effect that reports the outcome of an operation to its waiter.
+effect tell_outcome(
+    std::string const& operation, operation_waiter const& to,
+    change_outcome const& outcome);
+
 // Message of type M if the input is one, else null.
 template <class M>
 M const* received_message(pipeline_context const& p)
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -3,6 +3,16 @@
 namespace jackdawhall::control
 {
 
+effect tell_outcome(
+    std::string const& operation, operation_waiter const& to,
+    change_outcome const& outcome)
+{
+    if (to.host_)
+        return send{
+            {*to.host_, change_response{to.number_, outcome, operation}}};
+    return answer_operator{to.number_, outcome};
+}
+
 namespace
 {
 
@@ -10,11 +20,7 @@
     pipeline_context& p, std::string const& operation,
     operation_waiter const& to, change_outcome const& outcome)
 {
-    if (to.host_)
-        p.effects_.push_back(
-            send{{*to.host_, change_response{to.number_, outcome, operation}}});
-    else
-        p.effects_.push_back(answer_operator{to.number_, outcome});
+    p.effects_.push_back(tell_outcome(operation, to, outcome));
 }
 
 // Proposes a command if this host leads, else forwards the request of its own
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -217,7 +217,7 @@
 void daemon::give(control::input in)
 {
     if (!control_)
-        return;
+        return answer_without_control(in);
     inputs_.emplace_back(std::move(in));
     work_off();
 }
@@ -257,7 +257,7 @@
 void daemon::step_control(control::input in)
 {
     if (!control_)
-        return;
+        return answer_without_control(in);
     control::node_step step =
         control::run(std::move(*control_), std::move(in), loop::read_clocks());
     control_ = std::move(step.state_);
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -64,6 +64,7 @@
     void work_off();
     void step_calls(calls::input in);
     void step_control(control::input in);
+    void answer_without_control(control::input const& in);
     void arm_timer();
     void timer_fired();
 
--- a/packages/daemon/jackdawhall/daemon/daemon_control.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_control.cpp
@@ -62,6 +62,15 @@
     return {};
 }
 
+void daemon::answer_without_control(control::input const& in)
+{
+    received const* r = std::get_if<received>(&in);
+    std::optional<outgoing> answer =
+        r ? control::answer_without_node(r->message_) : std::nullopt;
+    if (answer)
+        transmit(std::move(*answer));
+}
+
 void daemon::carry_out(control::effect e)
 {
     if (last_store_ > synced_store_ && waits_for_disk(e))
@@ -136,10 +145,13 @@
     say(severity::error, part::control,
         "the disk failed; the control node begins again from it",
         {{"what", what}});
+    control::effects told = control::abandon_changes(*control_);
     ++disk_runs_;
     control_.reset();
     held_.clear();
     last_store_ = synced_store_ = 0;
+    for (control::effect& e : told)
+        perform(std::move(e));
     fail_pending_changes("the disk failed");
     restart_.set(disk_retry, [this] { restart_control(); });
 }
--- a/test/support/memory_backends.cpp
+++ b/test/support/memory_backends.cpp
@@ -195,13 +195,28 @@
     return hosts_[host].changes_.size();
 }
 
+// An operator hears at once from a host that runs no control node.
+void memory_fleet::give_change(
+    std::size_t host, std::uint64_t submitted, control::input in)
+{
+    if (is_up(host) && is_control(host) && !has_control(host))
+    {
+        change_event& c = history_.changes_.at(submitted);
+        c.answered_at_ = now_;
+        c.outcome_ = unknown_outcome{"no control node runs here now"};
+    }
+    else
+        deliver(host, std::move(in));
+}
+
 std::uint64_t memory_fleet::submit(std::size_t host, document d)
 {
     std::uint64_t const submitted = ++last_change_;
     history_.changes_[submitted] = {now_, std::nullopt, {}, std::nullopt};
-    deliver(
-        host, control::input{control::operator_document{
-                  number_change(host, submitted), std::move(d)}});
+    give_change(
+        host, submitted,
+        control::operator_document{
+            number_change(host, submitted), std::move(d)});
     return submitted;
 }
 
@@ -209,9 +224,9 @@
 {
     std::uint64_t const submitted = ++last_change_;
     history_.changes_[submitted] = {now_, std::nullopt, c, std::nullopt};
-    deliver(
-        host, control::input{control::operator_change{
-                  number_change(host, submitted), std::move(c)}});
+    give_change(
+        host, submitted,
+        control::operator_change{number_change(host, submitted), std::move(c)});
     return submitted;
 }
 
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr wall_time epoch{std::chrono::milliseconds{1'800'000'000'000}};
+// Time between two tries to use a disk that failed, as in the daemon.
+constexpr duration disk_retry = std::chrono::seconds(1);
 
 bool waits_for_disk(control::effect const& e)
 {
@@ -149,37 +151,51 @@
     s.gate_ = {"10.0.0." + std::to_string(i + 1), 7070};
     s.retries_ = options_.retries_;
     s.shutdown_periods_ = options_.shutdown_periods_;
-    control::consensus_settings c;
-    c.self_ = h.name_;
+    std::size_t const named = named_control_hosts();
+    s.discovers_control_hosts_ = options_.control_seeds_ != 0;
+    for (std::size_t k = 0; k < named; ++k)
+        s.control_hosts_.push_back(host((i + k) % named));
+    h.calls_ =
+        calls::make_state(s, random_source(random_.next()), clock_of(h).now_);
+    if (is_control(i))
+        start_control(i);
+    h.timer_due_ = duration{-1};
+    schedule_timer(i);
+}
+
+std::size_t memory_fleet::named_control_hosts() const
+{
+    return options_.control_seeds_ != 0 ? options_.control_seeds_
+                                        : options_.control_hosts_;
+}
+
+control::consensus_settings
+memory_fleet::consensus_settings(std::size_t i) const
+{
     bool const seeded = options_.control_seeds_ != 0;
-    std::size_t const named =
-        seeded ? options_.control_seeds_ : options_.control_hosts_;
-    s.discovers_control_hosts_ = seeded;
+    control::consensus_settings c;
+    c.self_ = hosts_[i].name_;
     c.allow_unlisted_hosts_ = seeded;
     c.min_durable_copies_ = options_.durable_copies_;
-    c.may_bootstrap_ = !seeded || h.generation_ == 0;
-    for (std::size_t k = 0; k < named; ++k)
-    {
-        std::size_t const near = (i + k) % named;
-        s.control_hosts_.push_back(host(near));
+    c.may_bootstrap_ = !seeded || hosts_[i].generation_ == 0;
+    for (std::size_t k = 0; k < named_control_hosts(); ++k)
         c.control_hosts_.push_back(host(k));
-    }
-    instant const now = clock_of(h).now_;
-    h.calls_ = calls::make_state(s, random_source(random_.next()), now);
-    if (is_control(i))
+    return c;
+}
+
+void memory_fleet::start_control(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    if (!h.disk_)
     {
-        if (!h.disk_)
-        {
-            h.disk_.emplace();
-            h.disk_->self_ = {h.name_, random_.next()};
-        }
-        h.last_store_ = h.synced_ = 0;
-        h.syncing_ = false;
-        h.control_ = control::make_state(
-            c, *h.disk_, random_source(random_.next()), now);
+        h.disk_.emplace();
+        h.disk_->self_ = {h.name_, random_.next()};
     }
-    h.timer_due_ = duration{-1};
-    schedule_timer(i);
+    h.last_store_ = h.synced_ = 0;
+    h.syncing_ = false;
+    h.control_ = control::make_state(
+        consensus_settings(i), *h.disk_, random_source(random_.next()),
+        clock_of(h).now_);
 }
 
 void memory_fleet::kill(std::size_t i)
@@ -232,6 +248,48 @@
     hosts_[i].unsynced_.clear();
 }
 
+void memory_fleet::fill_disk(std::size_t i)
+{
+    hosts_[i].disk_full_ = true;
+}
+
+void memory_fleet::free_disk(std::size_t i)
+{
+    hosts_[i].disk_full_ = false;
+}
+
+// What was written before is synced by the journal's next opening.
+void memory_fleet::fail_disk(std::size_t i)
+{
+    sim_host& h = hosts_[i];
+    control::effects told = control::abandon_changes(*h.control_);
+    ++h.disk_runs_;
+    h.control_.reset();
+    h.deferred_effects_.clear();
+    for (store const& written : std::exchange(h.unsynced_, {}))
+        apply_store(*h.disk_, written.effect_);
+    for (control::effect& e : told)
+        perform(i, std::move(e));
+    at(now_ + disk_retry,
+       [this, i, generation = h.generation_]
+       {
+           if (hosts_[i].generation_ != generation)
+               return;
+           start_control(i);
+           schedule_timer(i);
+       });
+}
+
+void memory_fleet::answer_without_control(
+    std::size_t i, control::input const& in)
+{
+    received const* r = std::get_if<received>(&in);
+    std::optional<outgoing> answer =
+        r ? control::answer_without_node(r->message_) : std::nullopt;
+    if (answer)
+        transmit(i, std::move(*answer));
+}
+
 void memory_fleet::request_stop(std::size_t i)
 {
     deliver(i, calls::input{calls::stop_requested{}});
@@ -247,6 +305,11 @@
     return *hosts_.at(i).control_;
 }
 
+bool memory_fleet::has_control(std::size_t i) const
+{
+    return hosts_.at(i).control_.has_value();
+}
+
 std::optional<std::size_t> memory_fleet::leader() const
 {
     std::optional<std::size_t> found;
@@ -254,7 +317,8 @@
     for (std::size_t i = 0; i < options_.control_hosts_; ++i)
     {
         sim_host const& h = hosts_[i];
-        if (!h.up_ || h.frozen_ || !is_leader(h.control_->consensus_))
+        if (!h.up_ || h.frozen_ || !h.control_ ||
+            !is_leader(h.control_->consensus_))
             continue;
         term_number const term = h.control_->consensus_.hard_state_.term_;
         if (term >= newest)
@@ -300,9 +364,15 @@
             at);
         h.control_ = std::move(s.state_);
         for (control::effect& e : s.effects_)
+        {
+            if (!h.control_)
+                break; // the disk failed
             carry_out(i, std::move(e));
+        }
         start_sync(i);
     }
+    else
+        answer_without_control(i, std::get<control::input>(in));
     schedule_timer(i);
 }
 
@@ -427,6 +497,8 @@
             [&](log_message&) {},
             [&](auto& stored)
             {
+                if (h.disk_full_)
+                    return fail_disk(i);
                 h.last_store_ = stored.number_;
                 h.unsynced_.push_back({stored.number_, stored});
             },
@@ -437,15 +509,15 @@
 void memory_fleet::start_sync(std::size_t i)
 {
     sim_host& h = hosts_[i];
-    if (h.syncing_ || h.last_store_ == h.synced_)
+    if (h.syncing_ || !h.control_ || h.last_store_ == h.synced_)
         return;
     h.syncing_ = true;
     control::store_number const number = h.last_store_;
-    std::uint64_t const generation = h.generation_;
     at(now_ + options_.sync_time_,
-       [this, i, number, generation]
+       [this, i, number, generation = h.generation_, run = h.disk_runs_]
        {
-           if (hosts_[i].generation_ == generation)
+           if (hosts_[i].generation_ == generation &&
+               hosts_[i].disk_runs_ == run)
                finish_sync(i, number);
        });
 }
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -126,11 +126,17 @@
     void freeze(std::size_t i);
     void thaw(std::size_t i);
     void lose_disk(std::size_t i); // the host must be down
+    // A full disk takes no store. The host's control node ends at the first one
+    // and begins again from the disk a second later, as a daemon's does.
+    void fill_disk(std::size_t i);
+    void free_disk(std::size_t i);
     bool is_up(std::size_t i) const { return hosts_.at(i).up_; }
     void request_stop(std::size_t i);
     bool stopped(std::size_t i) const { return hosts_.at(i).stopped_; }
     calls::state const& calls_of(std::size_t i) const;
     control::state const& control_of(std::size_t i) const;
+    // Whether a control node runs; none does for a second after a disk failed.
+    bool has_control(std::size_t i) const;
     std::optional<std::size_t> leader() const;
 
     // --- Network: a cut link drops messages without notice to the sender
@@ -187,6 +193,8 @@
         control::store_number last_store_ = 0;
         control::store_number synced_ = 0;
         bool syncing_ = false;
+        bool disk_full_ = false;
+        std::uint64_t disk_runs_ = 0; // of the control node, in this process
         std::deque<node_input> deferred_inputs_;
         duration timer_due_{-1};
         revision newest_revision_ = 0;
@@ -225,6 +233,11 @@
     void carry_out(std::size_t i, calls::effect e);
     void carry_out(std::size_t i, control::effect e);
     void perform(std::size_t i, control::effect e);
+    std::size_t named_control_hosts() const;
+    control::consensus_settings consensus_settings(std::size_t i) const;
+    void start_control(std::size_t i);
+    void fail_disk(std::size_t i);
+    void answer_without_control(std::size_t i, control::input const& in);
     void start_sync(std::size_t i);
     void finish_sync(std::size_t i, control::store_number number);
     void transmit(std::size_t from, outgoing out);
@@ -235,6 +248,8 @@
         calls::backend_outcome outcome);
     void announce(std::string const& id);
     std::uint64_t number_change(std::size_t host, std::uint64_t submitted);
+    void
+    give_change(std::size_t host, std::uint64_t submitted, control::input in);
     void record_reversion(std::size_t i);
 
     fleet_options options_;
