Start a control host whose disk is full, and wait for room

A control host that started with an empty folder on a full disk ended, again and again, until there was room: its identity couldn't be written. The control node now begins once the disk takes it, as it does after a failure later on; the reason is logged once. Other faults of the folder still end the program.

--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -105,7 +105,7 @@
             [this](std::uint64_t number) { operator_changes_.erase(number); }});
     BOOST_LEAF_CHECK(operators_->listen("listen.operators"));
     if (settings_.control_)
-        BOOST_LEAF_CHECK(start_control());
+        BOOST_LEAF_CHECK(begin_control());
     loop_.on_stop_signal([this] { take_stop_signal(); });
     loop_.on_reload_signal([this] { reload(); });
     return {};
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -52,6 +52,7 @@
     say(severity level, part from, std::string const& sentence,
         log_fields const& fields = {});
 
+    leaf::result<void> begin_control();
     leaf::result<void> start_control();
     leaf::result<void> start_own_front();
     leaf::result<void> start_infrastructure();
@@ -116,6 +117,7 @@
     // here and begins again from the disk, as after a restart.
     void fail_disk(std::string const& what);
     void restart_control();
+    std::string try_start_control();
     // Answers all changes and documents in progress: their outcome is unknown.
     void fail_pending_changes(std::string const& why);
 
@@ -151,6 +153,7 @@
     bool syncing_ = false;        // a sync job is in progress
     std::uint64_t disk_runs_ = 0; // of the control node, in this process
     loop::event_loop::delayed restart_;
+    std::string disk_problem_; // latest reason why the node cannot start
     std::deque<held_effect> held_;
 
     std::map<std::uint64_t, instant> request_began_;
--- a/packages/daemon/jackdawhall/daemon/daemon_control.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_control.cpp
@@ -62,6 +62,22 @@
     return {};
 }
 
+// A disk that takes nothing now may do so later; other faults of the data
+// folder need a person.
+leaf::result<void> daemon::begin_control()
+{
+    return leaf::try_handle_some(
+        [&] { return start_control(); },
+        [&](internal_error const& error) -> leaf::result<void>
+        {
+            say(severity::error, part::control, "the disk cannot be used yet",
+                {{"what", error.what_}});
+            disk_problem_ = error.what_;
+            restart_.set(disk_retry, [this] { restart_control(); });
+            return {};
+        });
+}
+
 void daemon::answer_without_control(control::input const& in)
 {
     received const* r = std::get_if<received>(&in);
@@ -156,25 +172,36 @@
     restart_.set(disk_retry, [this] { restart_control(); });
 }
 
+// Why the disk cannot be used; empty if the control node has started.
+std::string daemon::try_start_control()
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string>
+        {
+            BOOST_LEAF_CHECK(start_control());
+            return std::string{};
+        },
+        [](user_error const& e) { return e.what_; },
+        [](internal_error const& e) { return e.what_; },
+        [] { return std::string("unknown error"); });
+}
+
 void daemon::restart_control()
 {
     // A job in progress still uses the files of the journal that failed.
     if (syncing_)
         return restart_.set(disk_retry, [this] { restart_control(); });
     journal_.reset();
-    bool const started = leaf::try_handle_all(
-        [&]() -> leaf::result<bool>
-        {
-            BOOST_LEAF_CHECK(start_control());
-            return true;
-        },
-        [](user_error const&) { return false; },
-        [](internal_error const&) { return false; }, [] { return false; });
-    if (!started)
+    std::string const problem = try_start_control();
+    if (!problem.empty())
     {
+        if (std::exchange(disk_problem_, problem) != problem)
+            say(severity::error, part::control, "the disk cannot be used yet",
+                {{"what", problem}});
         journal_.reset();
         return restart_.set(disk_retry, [this] { restart_control(); });
     }
+    disk_problem_.clear();
     say(severity::info, part::control, "the disk works again");
     arm_timer();
 }
--- a/packages/journal/jackdawhall/journal/journal_file.cpp
+++ b/packages/journal/jackdawhall/journal/journal_file.cpp
@@ -54,6 +54,15 @@
     return leaf::new_error(user_error{what, mend});
 }
 
+// A file of the data folder that cannot be opened: a full disk passes, other
+// causes need a person.
+leaf::error_id cannot_open(std::string const& what, std::string const& mend)
+{
+    if (errno == ENOSPC || errno == EDQUOT)
+        return disk_error(what);
+    return bad_folder(what + ": " + std::strerror(errno), mend);
+}
+
 // Files begun by replace() that never came into force.
 void remove_unfinished(std::string const& folder)
 {
@@ -138,9 +147,8 @@
     j.lock_ = ::open(
         (folder + lock_name).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (j.lock_ < 0)
-        return bad_folder(
-            "the data folder " + folder +
-                " cannot be used: " + std::strerror(errno),
+        return cannot_open(
+            "the data folder " + folder + " cannot be used",
             "create it, and let this user write there");
     if (::flock(j.lock_, LOCK_EX | LOCK_NB) != 0)
         return bad_folder(
@@ -153,9 +161,8 @@
     {
     };
     if (j.file_ < 0 || ::fstat(j.file_, &status) != 0)
-        return bad_folder(
-            "the journal in " + folder +
-                " cannot be opened: " + std::strerror(errno),
+        return cannot_open(
+            "the journal in " + folder + " cannot be opened",
             "check the disk and the permissions");
     BOOST_LEAF_ASSIGN(
         std::uint64_t const at,
--- a/packages/journal/jackdawhall/journal/journal_file.hpp
+++ b/packages/journal/jackdawhall/journal/journal_file.hpp
@@ -53,7 +53,8 @@
 public:
     // Opens or creates the journal in `folder`, and cuts off a torn tail. Fails
     // with user_error if the folder cannot be used, is used by another process,
-    // or holds a damaged journal.
+    // or holds a damaged journal, and with internal_error if the disk fails or
+    // is full.
     // The records are passed to `sink` one by one, and only one is held.
     static leaf::result<journal_file>
     open(std::string const& folder, record_sink const& sink);
