Keep the seeds that are read again for a control node that begins again

Seeds read while a daemon runs went to the control node alone. One that began again after a failure of its disk used those of the start of the process; a host that had nothing on its disk yet never found the others.

failure/full_disk_new_seeds without the change (a trial) ended in "link with 127.0.1.9 closed: Could not connect" and FAILED; now "host 4 joined by seeds that it read while its disk was full".

--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -154,8 +154,10 @@
             {{"problem", settings::to_text(settings_file_, p)}});
     if (!read.problems_.empty())
         return;
+    // A control node that begins again in this process needs them as well.
+    settings_.control_hosts_ = read.settings_.control_hosts_;
     std::vector<host_name> hosts;
-    for (settings::control_host const& host : read.settings_.control_hosts_)
+    for (settings::control_host const& host : settings_.control_hosts_)
     {
         hosts.push_back(host.host_);
         links_->set_address(host.host_, host.peers_);
