--- a/bench/fake_backend.cpp
+++ b/bench/fake_backend.cpp
@@ -22,6 +22,7 @@
 DEFINE_uint32(service_ms, 0, "time that a request takes, in milliseconds");
 DEFINE_string(calls, "", "path that each request calls through its daemon");
 DEFINE_bool(echo_headers, false, "answer with the headers of the request");
+DEFINE_string(repeated, "", "header field of requests to repeat in answers");
 DEFINE_bool(silent, false, "announce nothing");
 DEFINE_string(announced, "", "address to announce; by default --listen");
 
@@ -189,6 +190,9 @@
         std::string const more = jd::find_header(r.headers_, "fake-body-bytes");
         if (!more.empty())
             a.body_.append(std::strtoul(more.c_str(), nullptr, 10), 'a');
+        if (!FLAGS_repeated.empty())
+            a.headers_.push_back(
+                {FLAGS_repeated, jd::find_header(r.headers_, FLAGS_repeated)});
         if (FLAGS_echo_headers)
         {
             for (jd::header const& field : r.headers_)
