Answer at once the changes that were forwarded over a link that failed

An operator whose change was forwarded to a leader that ended heard after 5 s that the outcome is unknown, and moved on after a second without an answer.

The control host now learns which link failed, and tells the waiters whose requests went there. An answer that still comes finds no waiter, as before.

change_answers on the code before: change_answers.cpp:133: FAILED: CHECK( is<unknown_outcome>(g.fleet_, sent) ) Now "All tests passed (12 assertions in 3 test cases)".

--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -42,11 +42,28 @@
     auto operator<=>(operator_document const&) const = default;
 };
 
+// A link to another host failed: what was sent to it may be lost, and so may
+// its answers.
+struct link_lost
+{
+    host_name host_;
+    auto operator<=>(link_lost const&) const = default;
+};
+
 using input = std::variant<
-    received, timer_expired, stores_synced, operator_change, operator_document>;
+    received, timer_expired, stores_synced, operator_change, operator_document,
+    link_lost>;
 
 // --- State ------------------------------------------------------------------
 
+// How this host forwarded a request to the leader.
+struct forwarded_request
+{
+    host_name leader_;
+    std::uint64_t number_ = 0;
+    auto operator<=>(forwarded_request const&) const = default;
+};
+
 // Client waiting for the outcome of an operation: another control host, or this
 // host's operator if host_ is empty.
 struct operation_waiter
@@ -54,8 +71,7 @@
     std::optional<host_name> host_;
     std::uint64_t number_ = 0; // given by the requester
     instant since_;
-    // Number under which this host forwarded the request to the leader.
-    std::optional<std::uint64_t> forwarded_ = std::nullopt;
+    std::optional<forwarded_request> forwarded_ = std::nullopt;
     auto operator<=>(operation_waiter const&) const = default;
 };
 
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -41,7 +41,7 @@
     else if (leader && !from.host_)
     {
         request.number_ = ++s.last_forward_;
-        from.forwarded_ = request.number_;
+        from.forwarded_ = forwarded_request{*leader, request.number_};
         s.waiters_.emplace(operation, from);
         p.effects_.push_back(send{{*leader, std::move(request)}});
     }
@@ -78,7 +78,7 @@
     std::string const& operation, operation_waiter const& waiter,
     change_response const& r)
 {
-    return waiter.forwarded_ == r.number_ &&
+    return waiter.forwarded_ && waiter.forwarded_->number_ == r.number_ &&
            (r.operation_.empty() || r.operation_ == operation);
 }
 
@@ -97,23 +97,40 @@
     }
 }
 
-void expire_waiters(pipeline_context& p)
+// Tells the waiters that are `lost` that their outcome is unknown.
+template <class Predicate>
+void give_up_waiters(
+    pipeline_context& p, std::string const& why, Predicate lost)
 {
     std::multimap<std::string, operation_waiter>& waiters = p.state_.waiters_;
     for (auto found = waiters.begin(); found != waiters.end();)
     {
-        if (p.at_.now_ - found->second.since_ < operation_timeout)
+        if (!lost(found->second))
         {
             ++found;
             continue;
         }
-        send_outcome(
-            p, found->first, found->second,
-            unknown_outcome{"no majority of control hosts answered in time"});
+        send_outcome(p, found->first, found->second, unknown_outcome{why});
         found = waiters.erase(found);
     }
 }
 
+void expire_waiters(pipeline_context& p)
+{
+    give_up_waiters(
+        p, "no majority of control hosts answered in time",
+        [&](operation_waiter const& w)
+        { return p.at_.now_ - w.since_ >= operation_timeout; });
+}
+
+void give_up_forwarded(pipeline_context& p, host_name const& leader)
+{
+    give_up_waiters(
+        p, "the link to the leader failed",
+        [&](operation_waiter const& w)
+        { return w.forwarded_ && w.forwarded_->leader_ == leader; });
+}
+
 void reject_claim(pipeline_context& p, claim_request const& r)
 {
     p.effects_.push_back(send{
@@ -164,6 +181,8 @@
             p, {r->requester_, r->number_, p.at_.now_}, r->document_);
     if (change_response const* r = received_message<change_response>(p))
         handle_change_response(p, *r);
+    if (link_lost const* l = std::get_if<link_lost>(&p.input_))
+        give_up_forwarded(p, l->host_);
     if (std::holds_alternative<timer_expired>(p.input_))
         expire_waiters(p);
     return p;
--- a/packages/control/jackdawhall/control/run_consensus.cpp
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -98,6 +98,7 @@
             },
             [](operator_change const&) {},
             [](operator_document const&) {},
+            [](link_lost const&) {},
         },
         p.input_);
     return p;
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -69,6 +69,7 @@
     { receive_bytes(from, bytes); };
     peers.lost_ = [this](host_name const& host, std::uint64_t newest) {
         give(calls::input{calls::peer_lost{host, newest}});
+        give(control::input{control::link_lost{host}});
     };
     peers.undelivered_ = [this](host_name const& to, std::string bytes)
     {
--- a/test/correctness/change_answers.cpp
+++ b/test/correctness/change_answers.cpp
@@ -119,6 +119,20 @@
     CHECK_FALSE(is_answered(g.fleet_, earlier));
 }
 
+// The operator heard after 5 s.
+TEST_CASE("a change forwarded to a leader that ends is answered at once")
+{
+    group g = make_group();
+    for (std::size_t const i : g.others_)
+        g.fleet_.freeze(i);
+    std::uint64_t const sent = g.fleet_.submit(g.asked_, a_change("first"));
+    g.fleet_.run_for(50ms);
+    REQUIRE_FALSE(is_answered(g.fleet_, sent));
+    g.fleet_.kill(g.leader_);
+    g.fleet_.run_for(100ms);
+    CHECK(is<unknown_outcome>(g.fleet_, sent));
+}
+
 TEST_CASE("a change is not acknowledged by the answer to one before a restart")
 {
     group g = make_group();
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -222,6 +222,8 @@
             deliver(
                 peer, calls::input{
                           calls::peer_lost{h.name_, ~calls::call_number{0}}});
+        if (peer != i && is_control(peer))
+            deliver(peer, control::input{control::link_lost{h.name_}});
     }
 }
 
