Let a control host that stops finish the changes that others forwarded to it

What remained of the stop: a leader ended as soon as no operator's connection was open, and the outcome of changes that other hosts had forwarded to it was never told. The order of shutdown now waits for them as for connections, within the drain period. It goes on after each step of the nodes, so a phase is entered before it can be left.

--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -35,6 +35,11 @@
     return due;
 }
 
+std::size_t changes_in_progress(state const& s)
+{
+    return s.waiters_.size();
+}
+
 state make_state(
     consensus_settings settings, recovered_state disk, random_source random,
     instant now, node_options const& options)
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -129,6 +129,9 @@
 // Earliest instant at which timer_expired has work to do.
 instant next_due(state const& s);
 
+// Number of changes and documents whose outcome somebody waits for.
+std::size_t changes_in_progress(state const& s);
+
 // --- Without a node ---------------------------------------------------------
 
 // Reports of a node that ends, because its disk failed, to all that wait for
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -67,7 +67,8 @@
     loop::peer_handlers peers;
     peers.received_ = [this](host_name const& from, std::string bytes)
     { receive_bytes(from, bytes); };
-    peers.lost_ = [this](host_name const& host, std::uint64_t newest) {
+    peers.lost_ = [this](host_name const& host, std::uint64_t newest)
+    {
         give(calls::input{calls::peer_lost{host, newest}});
         give(control::input{control::link_lost{host}});
     };
@@ -245,6 +246,8 @@
     working_ = false;
     start_sync();
     arm_timer();
+    if (shutdown_.phase_ != shutdown_phase::running)
+        go_on_with_shutdown();
 }
 
 void daemon::step_calls(calls::input in)
@@ -380,10 +383,14 @@
             },
             [&](calls::stopped& s)
             {
-                shutdown_ = finish_calls(shutdown_, s.drained_by_);
                 // The effects that follow come first.
                 shutdown_timer_.set(
-                    duration{0}, [this] { enter_shutdown_phase(); });
+                    duration{0},
+                    [this, by = s.drained_by_]
+                    {
+                        shutdown_ = finish_calls(shutdown_, by);
+                        enter_shutdown_phase();
+                    });
             },
         },
         e);
--- a/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
@@ -26,6 +26,8 @@
         open.connections_ += s->open_connections();
     open.links_behind_ = links_->links_behind();
     open.links_ = links_->open_links();
+    if (control_)
+        open.changes_ = control::changes_in_progress(*control_);
     return open;
 }
 
@@ -41,10 +43,10 @@
         s->announce_closing();
     if (readiness_)
         readiness_->announce_closing();
+    give(calls::input{calls::stop_requested{}});
     shutdown_ = begin_shutdown(
         settings_.call_, now + calls_.settings_.shutdown_periods_.drain_period_,
         now);
-    give(calls::input{calls::stop_requested{}});
     enter_shutdown_phase();
 }
 
--- a/packages/daemon/jackdawhall/daemon/shutdown.cpp
+++ b/packages/daemon/jackdawhall/daemon/shutdown.cpp
@@ -44,7 +44,7 @@
     case shutdown_phase::answering:
         if (now >= s.end_)
             return enter(s, shutdown_phase::ended, now);
-        if (open.connections_ == 0)
+        if (open.connections_ == 0 && open.changes_ == 0)
             return enter(s, shutdown_phase::flushing, s.drained_by_);
         return s;
     case shutdown_phase::flushing:
--- a/packages/daemon/jackdawhall/daemon/shutdown.hpp
+++ b/packages/daemon/jackdawhall/daemon/shutdown.hpp
@@ -15,7 +15,7 @@
 {
     running,   // no stop signal yet
     working,   // calls and runs are in progress
-    answering, // no connection is accepted; those open finish
+    answering, // no connection is accepted; those open finish, and changes
     flushing,  // peers take what was sent to them
     closing,   // the links with peers are closed in order
     ended
@@ -36,6 +36,7 @@
     std::size_t connections_ = 0;  // of callers and operators
     std::size_t links_behind_ = 0; // with bytes that the peer has not taken
     std::size_t links_ = 0;        // with peers
+    std::size_t changes_ = 0;      // of the configuration, in progress here
     auto operator<=>(open_work const&) const = default;
 };
 
--- a/test/correctness/shutdown_order.cpp
+++ b/test/correctness/shutdown_order.cpp
@@ -34,6 +34,14 @@
     CHECK(s.phase_ == shutdown_phase::ended);
 }
 
+TEST_CASE("changes in progress here are waited for")
+{
+    shutdown_state s = begin_shutdown(false, drained_by, began);
+    CHECK(continue_shutdown(s, {0, 0, 1, 1}, began) == s);
+    s = continue_shutdown(s, {0, 0, 1, 0}, began);
+    CHECK(s.phase_ == shutdown_phase::flushing);
+}
+
 TEST_CASE("no phase lasts longer than the drain period")
 {
     shutdown_state s =
--- a/test/failure/infrastructure.sh
+++ b/test/failure/infrastructure.sh
@@ -2,6 +2,8 @@
 # hosts 1 to 3 are the seeds. Sourced in place of common.sh.
 . "$(dirname "${BASH_SOURCE[0]}")/common.sh"
 grace_s=6
+lost_disks=1
+operator_host=1 # that configure asks
 
 orders() { echo "$(host_ip "$1"):$((base + 3))"; }
 readiness() { echo "$(host_ip "$1"):$((base + 4))"; }
@@ -28,7 +30,7 @@
   cat >> "$run/host$1.yaml" <<EOF
 infrastructure:
   orders: "$(orders "$1")"
-  lost_disks: 1
+  lost_disks: $lost_disks
   in_force_ms: 2000
   grace_s: $grace_s
   retry_share: 0.2
@@ -54,7 +56,7 @@
   local version=$1 base_version=$2 routes
   shift 2
   routes=$(IFS=,; echo "$*")
-  curl -sf -m 2 "http://$(orders 1)/-/rpc?call=config.put" -d '{"version":'"$version"',
+  curl -sf -m 2 "http://$(orders $operator_host)/-/rpc?call=config.put" -d '{"version":'"$version"',
     "baseVersion":'"$base_version"',
     "services":[{"name":"slow","maxConnections":500}],"routes":['"$routes"']}'
 }
