Read what arrived during a pause before a peer is taken for silent

The daemon had been stopped for 1.05 s; when it went on, its timer came before the bytes that waited, and it closed the link as silent (1.5 s after the last message without an answer, which it had sent up to 0.5 s before the pause). The test's schedule allows that, so it is a fault of the daemon: each pause of a second or so could drop answers.

Now a link that seems silent is read once more before it is closed.

links_after_pause before, in 3 of 3 runs: links_after_pause.cpp:86: FAILED: { "lost" } == { "answer" } Now green in 5 of 5.

--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -295,6 +295,11 @@
     if (l.stage_ != link_stage::ready)
         return close(l, "it was not made in time");
     instant const at = now();
+    // After a pause of this process the answer may be there, not read yet.
+    if (l.unanswered_since_ && at - *l.unanswered_since_ >= close_after)
+        read_ready(l);
+    if (l.stage_ == link_stage::closed)
+        return;
     if (l.unanswered_since_)
     {
         duration const silent = at - *l.unanswered_since_;
