--- a/test/correctness/full_disks.cpp
+++ b/test/correctness/full_disks.cpp
@@ -15,19 +15,6 @@
 constexpr std::size_t control_hosts = 5;
 // Bound of the infrastructure's pages on the acknowledgement of an order.
 constexpr duration ack_timeout = 4s;
-// By then all five hosts vote.
-constexpr duration group_formed = 8s;
-
-fleet_options five_hosts(std::uint64_t seed)
-{
-    fleet_options o;
-    o.seed_ = seed;
-    o.hosts_ = control_hosts;
-    o.control_hosts_ = control_hosts;
-    o.control_seeds_ = 3;
-    o.durable_copies_ = 3;
-    return o;
-}
 
 // Submits a change to a random host every 200 ms, from now on.
 void submit_steadily(memory_fleet& fleet, int left)
@@ -112,7 +99,7 @@
 // Changes stayed unanswered to the end of the day after the last was full.
 TEST_CASE("disks that are full one after the other end no changes")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 41))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 41))));
     fleet.run_for(group_formed);
     submit_steadily(fleet, 200);
     fill_each_disk(fleet);
@@ -125,7 +112,7 @@
 // The operator waited for a second and more, at one host after the other.
 TEST_CASE("changes forwarded to a leader with a full disk are answered at once")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 9))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 9))));
     fleet.run_for(group_formed);
     std::size_t const leader = fleet.leader().value();
     fleet.fill_disk(leader);
@@ -142,7 +129,7 @@
 
 TEST_CASE("a full disk of one host holds no change up for long")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 21))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 21))));
     fleet.run_for(group_formed);
     fleet.fill_disk(fleet.leader().value());
     CHECK(is_accepted_within(fleet, "beside", ack_timeout));
@@ -150,7 +137,7 @@
 
 TEST_CASE("changes go on after all disks were full at once")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 21))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 21))));
     fleet.run_for(group_formed);
     REQUIRE(is_accepted_within(fleet, "first", 1s));
     for (std::size_t i = 0; i < control_hosts; ++i)
--- a/test/correctness/removed_voter_returns.cpp
+++ b/test/correctness/removed_voter_returns.cpp
@@ -12,18 +12,6 @@
 
 constexpr std::size_t control_hosts = 5;
 
-fleet_options five_hosts(std::uint64_t seed)
-{
-    fleet_options o;
-    o.seed_ = seed;
-    o.hosts_ = control_hosts;
-    o.control_hosts_ = control_hosts;
-    o.control_seeds_ = 3;
-    o.durable_copies_ = 3;
-    o.sync_time_ = 5ms;
-    return o;
-}
-
 bool is_leaders_voter(memory_fleet const& fleet, std::size_t i)
 {
     std::optional<std::size_t> const leader = fleet.leader();
@@ -75,7 +63,7 @@
 // The core was lost for good: the removed host never asked to join.
 TEST_CASE("a voter removed while it was down joins again")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 9))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 9))));
     REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
     make_change(fleet, {put_account("one", 1, 1)});
     std::size_t const first_leader = fleet.leader().value();
@@ -112,7 +100,7 @@
 // The leader forgets a silent peer after joining_host_timeout.
 TEST_CASE("a voter that was away for long joins again")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 5))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 5))));
     REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
     std::size_t const down = follower(fleet, 3);
     fleet.kill(down);
@@ -126,7 +114,7 @@
 // The new leader knew the removed host neither as a voter nor as a peer.
 TEST_CASE("a voter removed while it was down joins under a new leader")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 9))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 9))));
     REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
     std::size_t const first_leader = fleet.leader().value();
     std::size_t const down = follower(fleet, 3);
@@ -149,7 +137,7 @@
 // catchUp of the sites is 4 s; the bound keeps a quarter of it.
 TEST_CASE("hosts that lost their disks vote again within 3 s")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 41))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 41))));
     REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
     std::size_t const first = fleet.leader().value();
     std::size_t const second = follower(fleet, 0);
@@ -163,7 +151,7 @@
 // The configuration was lost for good: the group still had to take them in.
 TEST_CASE("two lose their disks, and 4.1 s later two others do")
 {
-    memory_fleet fleet(five_hosts(GENERATE(range(1, 41))));
+    memory_fleet fleet(five_control_hosts(GENERATE(range(1, 41))));
     REQUIRE(fleet.run_until([&] { return all_vote(fleet); }, 10s));
     std::size_t const first = fleet.leader().value();
     std::size_t const second = follower(fleet, 0);
@@ -181,7 +169,7 @@
 // Removal before the addition would leave too few disks to commit anything.
 TEST_CASE("one of as few voters as copies are needed may lose its disk")
 {
-    fleet_options o = five_hosts(GENERATE(range(1, 9)));
+    fleet_options o = five_control_hosts(GENERATE(range(1, 9)));
     o.hosts_ = o.control_hosts_ = 3;
     memory_fleet fleet(o);
     fleet.run_for(6s);
--- a/test/error/journal_reading.cpp
+++ b/test/error/journal_reading.cpp
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 
 #include <jackdawhall/journal.hpp>
+#include <temporary_folder.hpp>
 
 using namespace jackdawhall;
 using journal::journal_file;
@@ -16,12 +17,6 @@
 constexpr std::size_t record_bytes = 400000;
 constexpr std::size_t record_count = 240;
 
-std::string make_folder()
-{
-    char name[] = "/tmp/jackdawhall-journal-XXXXXX";
-    return mkdtemp(name);
-}
-
 std::size_t peak_memory()
 {
     rusage used{};
@@ -34,7 +29,8 @@
 // A daemon needed 1.9 times its memory to read its own disk.
 TEST_CASE("reading a large journal holds one record at a time")
 {
-    std::string const folder = make_folder();
+    test::temporary_folder const held;
+    std::string const& folder = held.path();
     {
         journal_file j = journal_file::open(folder).value();
         for (std::size_t i = 0; i < record_count; ++i)
@@ -58,21 +54,21 @@
     CHECK(records == record_count);
     CHECK(bytes == record_count * record_bytes);
     CHECK(peak_memory() - before < std::size_t{8} << 20);
-    std::filesystem::remove_all(folder);
 }
 
 TEST_CASE("a journal that cannot be read is an error, and is left as it is")
 {
-    std::string const folder = make_folder();
+    test::temporary_folder const held;
+    std::string const& folder = held.path();
     std::filesystem::create_directory(folder + "/journal");
     CHECK_FALSE(journal_file::open(folder));
     CHECK(std::filesystem::is_directory(folder + "/journal"));
-    std::filesystem::remove_all(folder);
 }
 
 TEST_CASE("what a sink fails with ends the reading")
 {
-    std::string const folder = make_folder();
+    test::temporary_folder const held;
+    std::string const& folder = held.path();
     {
         journal_file j = journal_file::open(folder).value();
         REQUIRE(j.append({3, "one"}));
@@ -88,5 +84,4 @@
         }));
     CHECK(records == 1);
     CHECK(journal_file::open(folder).value().recovered().size() == 2);
-    std::filesystem::remove_all(folder);
 }
--- a/test/error/journal_replaced.cpp
+++ b/test/error/journal_replaced.cpp
@@ -6,27 +6,16 @@
 #include <set>
 
 #include <jackdawhall/journal.hpp>
+#include <temporary_folder.hpp>
 
 using namespace jackdawhall;
 using journal::journal_file;
 using journal::raw_record;
+using folder = test::temporary_folder;
 
 namespace
 {
 
-struct folder
-{
-    folder()
-    {
-        char name[] = "/tmp/jackdawhall-replaced-XXXXXX";
-        path_ = mkdtemp(name);
-    }
-    ~folder() { std::filesystem::remove_all(path_); }
-    folder(folder const&) = delete;
-    folder& operator=(folder const&) = delete;
-    std::string path_;
-};
-
 raw_record const first{3, "first"};
 raw_record const second{3, "second"};
 raw_record const third{3, "third"};
@@ -54,18 +43,18 @@
     folder const f;
     journal::sync_job stalled;
     {
-        journal_file j = journal_file::open(f.path_).value();
+        journal_file j = journal_file::open(f.path()).value();
         REQUIRE(j.append(first));
         sync(j);
         REQUIRE(j.replace({second}));
         stalled = j.take_sync_job();
     }
     {
-        journal_file j = journal_file::open(f.path_).value();
+        journal_file j = journal_file::open(f.path()).value();
         REQUIRE(j.replace({third}));
         CHECK_FALSE(journal::run(stalled));
     }
-    journal_file const j = journal_file::open(f.path_).value();
+    journal_file const j = journal_file::open(f.path()).value();
     CHECK(j.recovered() == std::vector<raw_record>{first});
 }
 
@@ -73,7 +62,7 @@
 TEST_CASE("files that a newer one replaced before their sync are removed")
 {
     folder const f;
-    journal_file j = journal_file::open(f.path_).value();
+    journal_file j = journal_file::open(f.path()).value();
     REQUIRE(j.replace({first}));
     REQUIRE(j.replace({second}));
     journal::sync_job const job = j.take_sync_job();
@@ -81,5 +70,5 @@
     REQUIRE(journal::run(job));
     j.finish(job);
     sync(j);
-    CHECK(files_in(f.path_) == std::set<std::string>{"journal", "lock"});
+    CHECK(files_in(f.path()) == std::set<std::string>{"journal", "lock"});
 }
--- a/test/support/scenario.cpp
+++ b/test/support/scenario.cpp
@@ -6,6 +6,18 @@
 namespace jackdawhall::test
 {
 
+fleet_options five_control_hosts(std::uint64_t seed)
+{
+    fleet_options o;
+    o.seed_ = seed;
+    o.hosts_ = 5;
+    o.control_hosts_ = 5;
+    o.control_seeds_ = 3;
+    o.durable_copies_ = 3;
+    o.sync_time_ = 5ms;
+    return o;
+}
+
 record_key account_key(std::string const& name)
 {
     return {"account", name, 1};
--- a/test/support/scenario.hpp
+++ b/test/support/scenario.hpp
@@ -11,6 +11,11 @@
 
 using namespace std::chrono_literals;
 
+// Five control hosts that start from three seeds; a change needs the disks of
+// three. A group of all five has formed after group_formed.
+fleet_options five_control_hosts(std::uint64_t seed);
+inline constexpr duration group_formed = 8s;
+
 // Secret of every test key; its hash is stored with the salt "salt".
 inline std::string const test_secret(key_secret_bytes * 2, 'a');
 
