Measure the grace time of a stop in its test from the signal on

The daemon had ended 4,947 ms after its signal, as its log says; the script had been held up between its begin, from which it counted, and the signal, and looked at the time again after the end. It now counts from the signal, and fails if the process is still there after the grace time, as the infrastructure would find it.

--- a/test/failure/stop_late_requests.sh
+++ b/test/failure/stop_late_requests.sh
@@ -67,19 +67,24 @@
   kept_client $c &
   clients+=($!)
 done
-stop_process() { kill -TERM "$daemon_pid_4"; }
-began=$(date +%s%3N)
-n=0
+is_running() { kill -0 "$daemon_pid_4" 2> /dev/null; }
+now_ms() { date +%s%3N; }
+began=$(now_ms)
 signalled=
-while kill -0 "$daemon_pid_4" 2> /dev/null; do
+n=0
+while is_running; do
   n=$((n + 1))
   request_options "new-$n"
   curl "${options[@]}" >> "$run/new-$n.results" &
   clients+=($!)
   sleep 0.0$between_ms
-  since=$(($(date +%s%3N) - began))
-  [ -n "$signalled" ] || [ $since -lt 500 ] || { stop_process; signalled=1; }
-  [ $since -lt $((500 + grace_s * 1000)) ] || fail "not ended in its grace time"
+  if [ -n "$signalled" ]; then
+    [ $(($(now_ms) - signalled)) -lt $((grace_s * 1000)) ] || ! is_running ||
+      fail "not ended in its grace time"
+  elif [ $(($(now_ms) - began)) -ge 500 ]; then
+    signalled=$(now_ms)
+    kill -TERM "$daemon_pid_4"
+  fi
 done
 wait "$daemon_pid_4" || fail "exit status of host $stopped"
 wait "${clients[@]}"
