--- a/packages/calls/jackdawhall/calls.hpp
+++ b/packages/calls/jackdawhall/calls.hpp
@@ -8,4 +8,5 @@
 #include <jackdawhall/calls/configuration.hpp>
 #include <jackdawhall/calls/limiter.hpp>
 #include <jackdawhall/calls/pipeline.hpp>
+#include <jackdawhall/calls/settings.hpp>
 #include <jackdawhall/calls/state.hpp>
--- a/packages/model/jackdawhall/model.hpp
+++ b/packages/model/jackdawhall/model.hpp
@@ -5,6 +5,7 @@
 
 #include <jackdawhall/model/error.hpp>
 #include <jackdawhall/model/indirect.hpp>
+#include <jackdawhall/model/log.hpp>
 #include <jackdawhall/model/message.hpp>
 #include <jackdawhall/model/name.hpp>
 #include <jackdawhall/model/node.hpp>
--- a/test/correctness/removed_voter_returns.cpp
+++ b/test/correctness/removed_voter_returns.cpp
@@ -58,6 +58,17 @@
     fleet.start(i);
 }
 
+// `down` comes back when another host than `leader` may lead.
+void restart_leader_then_start(
+    memory_fleet& fleet, std::size_t leader, std::size_t down)
+{
+    fleet.kill(leader);
+    fleet.run_for(300ms);
+    fleet.start(leader);
+    fleet.run_for(700ms);
+    fleet.start(down);
+}
+
 } // namespace
 
 // The core was lost for good: the removed host never asked to join.
@@ -77,11 +88,7 @@
     fleet.run_for(500ms);
     fleet.start(emptied);
     fleet.run_for(4500ms);
-    fleet.kill(first_leader);
-    fleet.run_for(300ms);
-    fleet.start(first_leader);
-    fleet.run_for(700ms);
-    fleet.start(down);
+    restart_leader_then_start(fleet, first_leader, down);
     CHECK(fleet.run_until([&] { return all_vote(fleet); }, 6s));
 
     fleet.run_for(18s);
@@ -126,11 +133,7 @@
     std::vector<voter> const voters =
         fleet.control_of(first_leader).consensus_.log_.voters();
     REQUIRE(std::find(voters.begin(), voters.end(), removed) == voters.end());
-    fleet.kill(first_leader);
-    fleet.run_for(300ms);
-    fleet.start(first_leader);
-    fleet.run_for(700ms);
-    fleet.start(down);
+    restart_leader_then_start(fleet, first_leader, down);
     CHECK(fleet.run_until([&] { return all_vote(fleet); }, 6s));
 }
 
