Keep runs and forwards when a link ends; ask over another link what became of them

Callers got 502 for requests at which a server was at work, seconds after connections between hosts had gone silent and been replaced.

Cause: the end of one link was taken for the loss of its host. Two hosts hold a link each way; the end of either made the gate cancel every run that the host had forwarded, and the entry fail every forward written to it until then.

Now a forward belongs to the host, the run of its daemon, and its number. After a link ended, the entry asks the gate what became of the forwards without an answer, and the gate reports on those that it holds. The gate keeps answers until the entry's deadline (16,384 and 16 MiB at most). "Not received" is said only by the same process, within what it remembers, and binds: a late copy is not run. So a payment that a link lost is tried again. An entry that can't be reached and does not ask for a second has ended, and its repeatable runs are cancelled. Gates of earlier builds (no incarnation) are handled as before.

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -40,13 +40,14 @@
     outgoing outgoing_;
     auto operator<=>(message_not_sent const&) const = default;
 };
-// The link to a peer failed after messages had been written to it.
-struct peer_lost
+// One of the links with a host ended. What was written to it may not have
+// arrived; the host and its other links may be sound.
+struct link_lost
 {
     host_name host_;
-    // Last forward written to the peer; later forwards are not affected.
+    // Newest forward written to this link; 0: none.
     call_number newest_written_ = 0;
-    auto operator<=>(peer_lost const&) const = default;
+    auto operator<=>(link_lost const&) const = default;
 };
 
 // Outcome of a run at a backend server.
@@ -123,7 +124,7 @@
 
 using input = std::variant<
     received, timer_expired, caller_request, caller_disconnected,
-    message_not_sent, peer_lost, run_finished, announcement,
+    message_not_sent, link_lost, run_finished, announcement,
     server_deregistered, probe_result, stop_requested, control_hosts_changed>;
 
 // --- Effects ----------------------------------------------------------------
--- /dev/null
+++ b/packages/calls/jackdawhall/calls/forward_memory.hpp
@@ -0,0 +1,75 @@
+// What a gate remembers of forwards that it has no run of, for entries that ask
+// what became of them: answers, for as long as the entry may wait for them, and
+// the forwards that it reported as not received, so that a late copy of one is
+// never run. Bounded in count and bytes.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <jackdawhall/calls/effect.hpp>
+#include <jackdawhall/model.hpp>
+
+namespace jackdawhall::calls
+{
+
+inline constexpr std::size_t max_kept_answers = 16384;
+inline constexpr std::size_t max_kept_answer_bytes = 16 << 20;
+inline constexpr std::size_t max_refused_forwards = 8192;
+// An entry asks for an answer within the deadline of the call; the inquiry may
+// be on its way for this long.
+inline constexpr duration answer_retention = std::chrono::milliseconds(500);
+// Longest time that a frame may be on its way on a link that has ended.
+inline constexpr duration refused_forward_lifetime = std::chrono::minutes(1);
+
+// Host of the entry, and the forward's number there.
+using forward_key = std::pair<host_name, call_number>;
+
+struct kept_answer
+{
+    forward_response answer_;
+    instant until_;
+    auto operator<=>(kept_answer const&) const = default;
+};
+
+struct forward_memory
+{
+    std::map<forward_key, kept_answer> answers_;
+    std::set<std::pair<instant, forward_key>> answers_due_;
+    std::size_t answer_bytes_ = 0;
+    // Answers given before may have been dropped to keep the bounds.
+    instant complete_since_ = instant::min();
+    std::set<forward_key> refused_;
+    std::deque<std::pair<instant, forward_key>> refused_due_; // oldest first
+    auto operator<=>(forward_memory const&) const = default;
+};
+
+// Keeps the answer to a forward whose entry waits until `deadline`.
+forward_memory keep_answer(
+    forward_memory m, forward_key const& key, forward_response answer,
+    instant deadline, instant now);
+
+// Returns nullptr if no answer is kept.
+forward_response const*
+find_answer(forward_memory const& m, forward_key const& key);
+
+// Numbers of the forwards of an entry whose answers are kept.
+std::vector<call_number>
+answered_forwards(forward_memory const& m, host_name const& entry);
+
+// Whether the answer to a forward sent `age` ago would still be kept.
+bool covers(forward_memory const& m, duration age, instant now);
+
+// Remembers that a forward must not run should it arrive later. Leaves the
+// memory as it is if it is full.
+forward_memory
+refuse_forward(forward_memory m, forward_key const& key, instant now);
+
+bool is_refused(forward_memory const& m, forward_key const& key);
+
+} // namespace jackdawhall::calls
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -42,6 +42,10 @@
         a.limit_ =
             static_cast<std::uint32_t>(concurrency_limit(server.limiter_));
     }
+    if (run.entry_ != w.state_->settings_.self_)
+        w.state_->forward_memory_ = keep_answer(
+            std::move(w.state_->forward_memory_), {run.entry_, run.forward_}, a,
+            run.deadline_, w.at_.now_);
     send_message(w, run.entry_, std::move(a));
 }
 
@@ -51,14 +55,22 @@
 constexpr duration refusal_lead_time = std::chrono::milliseconds(50);
 constexpr int refusal_lead_time_divisor = 8;
 
-// When a queued run is refused, or a running one reaches its deadline.
+// When a queued run is refused, or a running one reaches its deadline, if it is
+// not abandoned before.
 instant due_time(gate_run const& run)
 {
-    if (run.running_)
-        return run.deadline_;
     duration const time = run.deadline_ - run.created_at_;
-    return run.deadline_ -
-           std::min(refusal_lead_time, time / refusal_lead_time_divisor);
+    duration const lead =
+        run.running_
+            ? duration{0}
+            : std::min(refusal_lead_time, time / refusal_lead_time_divisor);
+    return std::min(
+        run.deadline_ - lead, run.abandoned_at_.value_or(instant::max()));
+}
+
+bool is_abandoned(gate_run const& run, instant now)
+{
+    return run.abandoned_at_ && now >= *run.abandoned_at_;
 }
 
 void erase_run(state& s, gate_run const& run)
@@ -157,9 +169,9 @@
     std::erase(server.queued_, number);
     server.running_.insert(number);
     w.state_->run_due_.erase({due_time(run), number});
-    w.state_->run_due_.emplace(run.deadline_, number);
-    server.recent_runs_[run.context_.account_] += 1;
     run.running_ = true;
+    w.state_->run_due_.emplace(due_time(run), number);
+    server.recent_runs_[run.context_.account_] += 1;
     run.started_at_ = w.at_.now_;
     w.effects_.push_back(
         observe_duration{stage::gate_queue, w.at_.now_ - run.created_at_});
@@ -259,11 +271,76 @@
         w.state_->settings_.admission_);
 }
 
+// Cancels a run in progress if it is repeatable; others go on, since their
+// outcome must become known.
+void cancel_if_repeatable(
+    working_state& w, gate_run& run, std::string_view reason)
+{
+    if (!run.context_.repeatable_ || run.cancelled_)
+        return;
+    run.cancelled_ = true;
+    w.effects_.push_back(cancel_run{run.number_});
+    w.effects_.push_back(log_message{
+        "run cancelled",
+        {{"request", run.context_.root_},
+         {"server", run.server_id_},
+         {"entry", run.entry_.str()},
+         {"reason", std::string(reason)},
+         {"took_ms", milliseconds_text(w.at_.now_ - run.created_at_)},
+         {"left_ms", milliseconds_text(run.deadline_ - w.at_.now_)}}});
+}
+
+// Drops a queued run, which its entry does not wait for.
+void drop_queued(working_state& w, gate_run& run)
+{
+    gate_run const dropped = std::move(run);
+    erase_run(*w.state_, dropped);
+}
+
+void end_run(working_state& w, gate_run& run, std::string_view reason)
+{
+    if (run.running_)
+        cancel_if_repeatable(w, run, reason);
+    else
+        drop_queued(w, run);
+}
+
+// Whether the forward was here before, or must not run: a frame may arrive late
+// on a link that ended.
+bool is_late_copy(state const& s, forward_key const& key)
+{
+    return s.run_of_forward_.contains(key) ||
+           find_answer(s.forward_memory_, key) ||
+           is_refused(s.forward_memory_, key);
+}
+
+void log_late_copy(
+    working_state& w, host_name const& entry, forward_request const& f)
+{
+    w.effects_.push_back(log_message{
+        "late copy of a forward ignored",
+        {{"request", f.context_.root_},
+         {"server", f.server_id_},
+         {"entry", entry.str()}}});
+}
+
 } // namespace
 
+void set_abandoned(state& s, gate_run& run, std::optional<instant> at)
+{
+    s.run_due_.erase({due_time(run), run.number_});
+    run.abandoned_at_ = at;
+    s.run_due_.emplace(due_time(run), run.number_);
+}
+
 working_state
 admit_forward(working_state w, host_name const& entry, forward_request const& f)
 {
+    if (is_late_copy(*w.state_, {entry, f.number_}))
+    {
+        log_late_copy(w, entry, f);
+        return w;
+    }
     gate_run run = make_run(*w.state_, entry, f, w.at_.now_);
     if (std::optional<refusal_reason> const why = find_refusal_reason(w, f))
     {
@@ -365,17 +442,7 @@
     auto const known = w.state_->run_of_forward_.find({entry, forward});
     if (known == w.state_->run_of_forward_.end())
         return w;
-    gate_run& run = w.state_->runs_.at(known->second);
-    if (!run.running_)
-    {
-        gate_run const dropped = std::move(run);
-        erase_run(*w.state_, dropped);
-    }
-    else if (run.context_.repeatable_ && !run.cancelled_)
-    {
-        run.cancelled_ = true;
-        w.effects_.push_back(cancel_run{run.number_});
-    }
+    end_run(w, w.state_->runs_.at(known->second), "cancelled by the entry");
     return w;
 }
 
@@ -386,17 +453,14 @@
     {
         call_number const number = s.run_due_.begin()->second;
         gate_run& run = s.runs_.at(number);
-        if (!run.running_)
+        bool const abandoned = is_abandoned(run, w.at_.now_);
+        if (!run.running_ && !abandoned)
         {
             refuse_run(w, number, refusal_reason::deadline_passed);
             continue;
         }
         s.run_due_.erase(s.run_due_.begin());
-        if (run.context_.repeatable_ && !run.cancelled_)
-        {
-            run.cancelled_ = true;
-            w.effects_.push_back(cancel_run{number});
-        }
+        end_run(w, run, abandoned ? "entry out of reach" : "deadline passed");
     }
     return w;
 }
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -38,9 +38,6 @@
     {"send_forward", send_forward},
 }};
 
-// Index of the first filter of a retry.
-constexpr std::size_t retry_filter_index = 12; // choose_server
-
 working_state start_call(working_state w, caller_request r)
 {
     entry_call c;
@@ -54,19 +51,6 @@
     return run_filters(std::move(w), std::move(c));
 }
 
-void log_retry(working_state& w, entry_call const& c, retry_reason why)
-{
-    w.effects_.push_back(log_message{
-        "request retried",
-        {{"request", c.context_.root_},
-         {"reason", std::string(to_text(why))},
-         {"service", c.service_.str()},
-         {"server", c.tried_servers_.back().second},
-         {"tries", std::to_string(c.tries_)},
-         {"reached", std::to_string(c.servers_reached_)},
-         {"left_ms", milliseconds_text(c.deadline_ - w.at_.now_)}}});
-}
-
 void log_caller_disconnected(working_state& w, entry_call const& c)
 {
     w.effects_.push_back(log_message{
@@ -79,44 +63,6 @@
          {"took_ms", milliseconds_text(w.at_.now_ - c.created_at_)}}});
 }
 
-// Handles the answer to a forward: retries the call or finishes it.
-working_state handle_forward_response(working_state w, forward_response a)
-{
-    state& s = *w.state_;
-    auto const known = s.call_of_forward_.find(a.number_);
-    if (known == s.call_of_forward_.end())
-        return w; // the call is finished already
-    entry_call c = std::move(s.calls_.at(known->second));
-    cancel_timer(s, c);
-    s.calls_.erase(c.number_);
-    s.call_of_forward_.erase(known);
-    active_forward const f = *c.forward_;
-    c.forward_.reset();
-    c.retries_left_ += std::min(a.retries_unused_, f.delegated_retries_);
-    w = record_server_outcome(std::move(w), f, a);
-    c.servers_reached_ += may_have_reached_server(a.verdict_) ? 1 : 0;
-    std::optional<retry_reason> const again =
-        decide_retry(s, c, a.verdict_, a.shed_, w.at_.now_);
-    if (!again)
-        return finish_call(std::move(w), std::move(c), std::move(a.verdict_));
-    ++s.counters_.retries_[static_cast<std::size_t>(*again)];
-    log_retry(w, c, *again);
-    c = charge_retry(s, std::move(c), a.verdict_);
-    c.lost_tries_ += std::holds_alternative<may_have_run>(a.verdict_) ? 1 : 0;
-    c.next_filter_ = retry_filter_index;
-    return run_filters(std::move(w), std::move(c));
-}
-
-// Handles a forward that will get no answer, as if the gate had answered `v`.
-working_state
-fail_forward(working_state w, call_number forward_number, verdict v)
-{
-    forward_response a;
-    a.number_ = forward_number;
-    a.verdict_ = std::move(v);
-    return handle_forward_response(std::move(w), std::move(a));
-}
-
 verdict deadline_verdict(entry_call const& c)
 {
     if (possibly_ran(c))
@@ -124,8 +70,8 @@
     return not_run{refusal_reason::deadline_passed};
 }
 
-// Resumes the calls whose wake-up is due and finishes those past their
-// deadline.
+// Resumes the calls whose wake-up is due, ends the forwards whose report is
+// overdue, and finishes the calls past their deadline.
 working_state expire_calls(working_state w)
 {
     state& s = *w.state_;
@@ -135,7 +81,8 @@
         entry_call& c = s.calls_.at(number);
         if (w.at_.now_ < c.deadline_)
         {
-            w = resume_call(std::move(w), number);
+            w = c.forward_ ? expire_report(std::move(w), number)
+                           : resume_call(std::move(w), number);
             continue;
         }
         entry_call late = std::move(c);
@@ -192,33 +139,6 @@
     return finish_call(std::move(w), std::move(c), std::move(v));
 }
 
-// Fails the forwards that were written to the lost peer, and cancels the runs
-// that it forwarded to this daemon.
-working_state handle_peer_lost(working_state w, peer_lost const& p)
-{
-    host_name const& host = p.host_;
-    std::vector<call_number> lost;
-    for (auto const& [number, call] : w.state_->call_of_forward_)
-    {
-        bool const sent_to_host =
-            w.state_->calls_.at(call).forward_->server_.host_ == host;
-        if (sent_to_host && number <= p.newest_written_)
-            lost.push_back(number);
-    }
-    for (call_number const number : lost)
-        w = fail_forward(
-            std::move(w), number,
-            may_have_run{indeterminate_reason::peer_lost});
-    std::vector<call_number> orphaned;
-    auto run = w.state_->run_of_forward_.lower_bound({host, 0});
-    for (; run != w.state_->run_of_forward_.end() && run->first.first == host;
-         ++run)
-        orphaned.push_back(run->first.second);
-    for (call_number const forward : orphaned)
-        w = handle_cancellation(std::move(w), host, forward);
-    return w;
-}
-
 working_state
 handle_outcome_response(working_state w, outcome_response const& r)
 {
@@ -242,6 +162,13 @@
         return handle_outcome_response(
             std::move(w),
             {r->number_, may_have_run{indeterminate_reason::already_claimed}});
+    host_name const& to = u.outgoing_.to_;
+    if (forward_inquiry const* asked =
+            std::get_if<forward_inquiry>(&u.outgoing_.message_))
+        return handle_inquiry_not_sent(std::move(w), to, *asked);
+    if (forward_report const* r =
+            std::get_if<forward_report>(&u.outgoing_.message_))
+        return handle_report_not_sent(std::move(w), to, *r);
     forward_request const* f =
         std::get_if<forward_request>(&u.outgoing_.message_);
     if (!f)
@@ -266,6 +193,10 @@
             { w = handle_forward_response(std::move(w), std::move(a)); },
             [&](cancel_forward& c)
             { w = handle_cancellation(std::move(w), from, c.number_); },
+            [&](forward_inquiry& i)
+            { w = answer_inquiry(std::move(w), from, i); },
+            [&](forward_report& r)
+            { w = handle_forward_report(std::move(w), from, r); },
             [&](renewal_response& a)
             { w = handle_renewal_response(std::move(w), from, std::move(a)); },
             [&](configuration_update& u)
@@ -356,7 +287,11 @@
             { w = handle_caller_disconnected(std::move(w), l); },
             [&](message_not_sent& u)
             { w = handle_message_not_sent(std::move(w), u); },
-            [&](peer_lost& l) { w = handle_peer_lost(std::move(w), l); },
+            [&](link_lost& l)
+            {
+                w = inquire_after_link_loss(std::move(w), l);
+                w = report_after_link_loss(std::move(w), l.host_);
+            },
             [&](run_finished& d) { w = finish_run(std::move(w), d); },
             [&](announcement& a) { w = handle_announcement(std::move(w), a); },
             [&](server_deregistered& g)
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -91,6 +91,22 @@
 // tells that run whether the call failed.
 void return_unused_retries(
     state& s, entry_call const& c, bool failed, instant now);
+// Ends a forward by its answer: retries the call or finishes it.
+working_state handle_forward_response(working_state w, forward_response a);
+// Ends a forward that will get no answer and may have run.
+working_state lose_forward(working_state w, call_number forward);
+// Ends a forward that its gate will never run, through no fault of the server.
+working_state withdraw_forward(working_state w, call_number forward);
+// Asks a gate, after a link with it ended, what became of the forwards that it
+// has not answered.
+working_state inquire_after_link_loss(working_state w, link_lost const& l);
+working_state handle_forward_report(
+    working_state w, host_name const& gate, forward_report const& r);
+// Ends the forwards of an inquiry whose gate can't be reached.
+working_state handle_inquiry_not_sent(
+    working_state w, host_name const& gate, forward_inquiry const& asked);
+// Ends the forward of a call whose gate has not reported in time.
+working_state expire_report(working_state w, call_number call);
 // Finishes a call that is no longer in state::calls_: settles its claim,
 // returns its unused retries, and answers all who wait for it.
 working_state finish_call(working_state w, entry_call c, verdict v);
@@ -122,6 +138,18 @@
 // has started and is repeatable.
 working_state handle_cancellation(
     working_state w, host_name const& entry, call_number forward);
+// Sets when a run counts as abandoned by its entry; nullopt: it does not.
+void set_abandoned(state& s, gate_run& run, std::optional<instant> at);
+// Tells an entry, after a link with it ended, which of its forwards are in
+// progress or answered.
+working_state report_after_link_loss(working_state w, host_name const& entry);
+// Sends the answers that are kept, and reports on the other forwards.
+working_state answer_inquiry(
+    working_state w, host_name const& entry, forward_inquiry const& asked);
+// Lets the runs of a report count as abandoned soon, since their entry can't be
+// reached, unless it asks for them.
+working_state handle_report_not_sent(
+    working_state w, host_name const& entry, forward_report const& r);
 // Refuses queued runs that are due, and cancels repeatable runs in progress
 // that are past their deadline.
 working_state expire_runs(working_state w);
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -18,9 +18,9 @@
     return s.control_timeout_ * 5 / 3;
 }
 
-backend_server
-make_backend_server(settings const& here, announcement const& a, bool stopping)
+backend_server make_backend_server(state const& s, announcement const& a)
 {
+    settings const& here = s.settings_;
     backend_server server;
     server.host_ = here.self_;
     server.location_ = here.location_;
@@ -29,7 +29,8 @@
     server.id_ = a.id_;
     server.slots_ = a.slots_;
     server.connections_ = a.connections_;
-    server.state_ = stopping ? server_state::draining : a.state_;
+    server.state_ = s.stopping_since_ ? server_state::draining : a.state_;
+    server.incarnation_ = s.incarnation_;
     return server;
 }
 
@@ -43,9 +44,8 @@
     r.newest_schema_ = s.configuration_.newest_schema_;
     r.location_ = s.settings_.location_;
     for (auto const& local : s.local_servers_)
-        r.servers_.push_back(make_backend_server(
-            s.settings_, local.second.announcement_,
-            s.stopping_since_.has_value()));
+        r.servers_.push_back(
+            make_backend_server(s, local.second.announcement_));
     r.wanted_.assign(s.wanted_.begin(), s.wanted_.end());
     r.membership_version_ = s.control_.membership_version_;
     r.demand_ = recent_demand(s, now);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -12,6 +12,7 @@
 
 #include <jackdawhall/calls/configuration.hpp>
 #include <jackdawhall/calls/effect.hpp>
+#include <jackdawhall/calls/forward_memory.hpp>
 #include <jackdawhall/calls/limiter.hpp>
 #include <jackdawhall/calls/settings.hpp>
 #include <jackdawhall/model.hpp>
@@ -113,7 +114,9 @@
     std::optional<held_claim> claim_;
     std::optional<active_forward> forward_;
     std::optional<call_number> outcome_request_; // number of the request
-    std::optional<instant> wake_at_;             // next check of a waiting call
+    // Next check of a waiting call. Of a call that is forwarded: when its gate
+    // must have reported on it.
+    std::optional<instant> wake_at_;
     auto operator<=>(entry_call const&) const = default;
 };
 
@@ -210,6 +213,9 @@
     instant calling_since_;     // when calls_in_progress_ last rose from 0
     duration time_in_calls_{0}; // time with nested calls in progress
     bool call_failed_ = false;  // a nested call failed
+    // The run counts as abandoned unless its entry asks for it before; nullopt:
+    // the entry was not out of reach.
+    std::optional<instant> abandoned_at_;
     bool running_ = false;
     bool cancelled_ = false;
     auto operator<=>(gate_run const&) const = default;
@@ -328,6 +334,7 @@
     instant releases_due_;
     std::map<call_number, gate_run> runs_;
     std::map<std::pair<host_name, call_number>, call_number> run_of_forward_;
+    forward_memory forward_memory_; // of forwards that were answered or refused
     // When each run is refused if queued, or cancelled if running and
     // repeatable.
     std::set<std::pair<instant, call_number>> run_due_;
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -47,6 +47,8 @@
             [](forward_request const&) { return false; },
             [](forward_response const&) { return false; },
             [](cancel_forward const&) { return false; },
+            [](forward_inquiry const&) { return false; },
+            [](forward_report const&) { return false; },
             [](auto const&) { return true; },
         },
         m);
@@ -69,7 +71,7 @@
     { receive_bytes(from, bytes); };
     peers.lost_ = [this](host_name const& host, std::uint64_t newest)
     {
-        give(calls::input{calls::peer_lost{host, newest}});
+        give(calls::input{calls::link_lost{host, newest}});
         give(control::input{control::link_lost{host}});
     };
     peers.undelivered_ = [this](host_name const& to, std::string bytes)
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -371,6 +371,43 @@
     std::uint64_t number_ = 0;
     auto operator<=>(cancel_forward const&) const = default;
 };
+// A forward that has no answer yet.
+struct unanswered_forward
+{
+    std::uint64_t number_ = 0;
+    duration age_{0}; // since it was sent
+    auto operator<=>(unanswered_forward const&) const = default;
+};
+// Sent to a gate after a link with its host ended: asks what became of forwards
+// that have no answer.
+struct forward_inquiry
+{
+    // Run of the gate's daemon that the forwards were sent to.
+    std::uint64_t incarnation_ = 0;
+    std::vector<unanswered_forward> forwards_;
+    auto operator<=>(forward_inquiry const&) const = default;
+};
+enum class forward_status : std::uint8_t
+{
+    in_progress,  // its answer follows
+    answered,     // its answer was sent, and is sent again on inquiry
+    not_received, // and refused should it arrive later
+    unknown,      // it may have run
+    last_ = unknown
+};
+struct reported_forward
+{
+    std::uint64_t number_ = 0;
+    forward_status status_ = forward_status::unknown;
+    auto operator<=>(reported_forward const&) const = default;
+};
+// What a gate knows of an entry's forwards: the response to a forward_inquiry,
+// and sent unasked after a link with the entry's host ended.
+struct forward_report
+{
+    std::vector<reported_forward> forwards_;
+    auto operator<=>(forward_report const&) const = default;
+};
 // Reports the fingerprints of the requests that were running when a backend
 // server crashed.
 struct crash_report
@@ -388,7 +425,8 @@
     grant_response, claim_request, claim_response, claim_release,
     claim_released, outcome_request, outcome_response, change_request,
     change_response, forward_request, forward_response, cancel_forward,
-    crash_report, control_host_list, document_request>;
+    crash_report, control_host_list, document_request, forward_inquiry,
+    forward_report>;
 
 // A message to send.
 struct outgoing
--- a/packages/model/jackdawhall/model/server.hpp
+++ b/packages/model/jackdawhall/model/server.hpp
@@ -54,6 +54,9 @@
     std::uint32_t slots_ = 1; // upper bound of its concurrent runs
     std::uint32_t connections_ = 1;
     server_state state_ = server_state::ready;
+    // Differs for each run of that daemon; 0: a build that does not report
+    // what became of forwards.
+    std::uint64_t incarnation_ = 0;
     auto operator<=>(backend_server const&) const = default;
 };
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -146,7 +146,7 @@
     backend_server, &backend_server::host_, &backend_server::location_,
     &backend_server::gate_, &backend_server::service_, &backend_server::id_,
     &backend_server::slots_, &backend_server::connections_,
-    &backend_server::state_)
+    &backend_server::state_, &backend_server::incarnation_)
 JACKDAWHALL_FIELDS(
     renewal_request, &renewal_request::host_, &renewal_request::incarnation_,
     &renewal_request::stamp_, &renewal_request::known_revision_,
@@ -237,6 +237,14 @@
     &forward_response::shed_, &forward_response::makes_calls_,
     &forward_response::time_at_gate_)
 JACKDAWHALL_FIELDS(cancel_forward, &cancel_forward::number_)
+JACKDAWHALL_FIELDS(
+    unanswered_forward, &unanswered_forward::number_, &unanswered_forward::age_)
+JACKDAWHALL_FIELDS(
+    forward_inquiry, &forward_inquiry::incarnation_,
+    &forward_inquiry::forwards_)
+JACKDAWHALL_FIELDS(
+    reported_forward, &reported_forward::number_, &reported_forward::status_)
+JACKDAWHALL_FIELDS(forward_report, &forward_report::forwards_)
 JACKDAWHALL_FIELDS(
     crash_report, &crash_report::host_, &crash_report::server_id_,
     &crash_report::suspects_)
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -180,11 +180,7 @@
     for (std::size_t peer = 0; peer < hosts_.size(); ++peer)
     {
         if (peer != i)
-            deliver(
-                peer, calls::input{
-                          calls::peer_lost{h.name_, ~calls::call_number{0}}});
-        if (peer != i && is_control(peer))
-            deliver(peer, control::input{control::link_lost{h.name_}});
+            end_link(peer, i);
     }
 }
 
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -144,6 +144,8 @@
     void heal(std::size_t from, std::size_t to);
     void isolate(std::size_t i);
     void heal_all();
+    // A link with `peer` ends, as host `at` sees it. Others go on.
+    void end_link(std::size_t at, std::size_t peer);
 
     // --- Backend servers
     void add_backend(std::size_t host, backend_options b);
--- a/test/support/memory_network.cpp
+++ b/test/support/memory_network.cpp
@@ -20,7 +20,9 @@
            std::holds_alternative<outcome_response>(m) ||
            std::holds_alternative<forward_request>(m) ||
            std::holds_alternative<forward_response>(m) ||
-           std::holds_alternative<cancel_forward>(m);
+           std::holds_alternative<cancel_forward>(m) ||
+           std::holds_alternative<forward_inquiry>(m) ||
+           std::holds_alternative<forward_report>(m);
 }
 
 } // namespace
@@ -52,6 +54,15 @@
     cut_links_.clear();
 }
 
+void memory_fleet::end_link(std::size_t at, std::size_t peer)
+{
+    deliver(
+        at, calls::input{
+                calls::link_lost{hosts_[peer].name_, ~calls::call_number{0}}});
+    if (is_control(at))
+        deliver(at, control::input{control::link_lost{hosts_[peer].name_}});
+}
+
 void memory_fleet::transmit(std::size_t from, outgoing out)
 {
     if (out.to_.empty())
