Find silent links sooner, and send over links that are sound

After connections between hosts went silent, requests waited 1.5 s at each link before it was given up, and what was sent next went over another link that was silent too; idle links stayed unnoticed for 8 to 15 s.

Now a link that was not heard from for a second is probed together with what is sent, and closed after 0.5 s of silence, others after 1 s. Links in use are probed every 2 s when idle, at 10 probes a second of a daemon at most. When a link proved silent, the others with its host are doubted until something comes over them: a new one is opened, and used. What waited for a link that was not made goes over another one. A link is closed only after a probe that the peer had time to answer. The newest forward written to a link no longer goes down.

silent_links on the code before: both cases with sockets fail (not found within 1 s and 3 s); now 26 assertions pass.

--- a/packages/loop/jackdawhall/loop/frame_queue.cpp
+++ b/packages/loop/jackdawhall/loop/frame_queue.cpp
@@ -1,5 +1,6 @@
 #include <jackdawhall/loop/frame_queue.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawhall::loop
@@ -21,7 +22,8 @@
     while (!q.frames_.empty() && q.frames_.front().end_ <= q.written_)
     {
         if (q.frames_.front().tag_ != 0)
-            q.newest_written_ = q.frames_.front().tag_;
+            q.newest_written_ =
+                std::max(q.newest_written_, q.frames_.front().tag_);
         q.frames_.pop_front();
     }
 }
@@ -34,7 +36,7 @@
         if (f.end_ - f.size_ >= q.written_ && !f.message_.empty())
             unwritten.push_back(std::move(f.message_));
         else if (f.tag_ != 0)
-            q.newest_written_ = f.tag_;
+            q.newest_written_ = std::max(q.newest_written_, f.tag_);
     }
     q.frames_.clear();
     return unwritten;
--- a/packages/loop/jackdawhall/loop/frame_queue.hpp
+++ b/packages/loop/jackdawhall/loop/frame_queue.hpp
@@ -28,7 +28,7 @@
     std::deque<waiting_frame> frames_;
     std::uint64_t written_ = 0; // bytes of the stream
     std::uint64_t queued_ = 0;
-    std::uint64_t newest_written_ = 0; // tag; 0: none
+    std::uint64_t newest_written_ = 0; // greatest tag; 0: none
     auto operator<=>(frame_queue const&) const = default;
 };
 
--- a/packages/loop/jackdawhall/loop/peer_connect.cpp
+++ b/packages/loop/jackdawhall/loop/peer_connect.cpp
@@ -48,7 +48,7 @@
 {
     link& l = links_.emplace_back();
     l.owner_ = this;
-    l.last_received_ = read_clocks().now_;
+    l.health_.last_received_ = l.health_.last_used_ = read_clocks().now_;
     return l;
 }
 
--- a/packages/loop/jackdawhall/loop/peer_link.hpp
+++ b/packages/loop/jackdawhall/loop/peer_link.hpp
@@ -9,6 +9,7 @@
 
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/frame_queue.hpp>
+#include <jackdawhall/loop/link_health.hpp>
 #include <jackdawhall/loop/peer_links.hpp>
 #include <jackdawhall/loop/timer.hpp>
 
@@ -43,9 +44,8 @@
     std::string in_;
     frame_queue waiting_;
     std::deque<std::pair<std::string, std::uint64_t>> before_ready_;
-    std::optional<instant> unanswered_since_;
+    link_health health_;
     std::uint32_t pings_ = 0; // not answered
-    instant last_received_;
 };
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -15,13 +15,6 @@
 constexpr std::size_t read_bytes = 64 << 10;
 constexpr int reads_at_once = 16; // so that one peer does not hold others up
 
-constexpr duration probe_after = std::chrono::milliseconds(500);
-constexpr duration close_after = std::chrono::milliseconds(1500);
-constexpr duration probe_step = std::chrono::milliseconds(300);
-constexpr duration idle_probe = std::chrono::seconds(15);
-constexpr duration idle_close = std::chrono::seconds(60);
-constexpr duration reconnect_delay = std::chrono::milliseconds(200);
-
 instant now()
 {
     return read_clocks().now_;
@@ -78,11 +71,9 @@
         handlers_.note_("link with " + l.host_.str() + " closed: " + why);
     host_name const host = l.host_;
     std::vector<std::string> unwritten = take_unwritten(l.waiting_);
-    for (auto& waiting : l.before_ready_)
-        unwritten.push_back(std::move(waiting.first));
-    l.before_ready_.clear();
     for (std::string& bytes : unwritten)
         handlers_.undelivered_(host, std::move(bytes));
+    give_back(host, std::exchange(l.before_ready_, {}));
     if (was_ready)
         handlers_.lost_(host, l.waiting_.newest_written_);
     // The link may still be in use by the functions that closed it.
@@ -108,8 +99,7 @@
             return;
         if (n <= 0)
             return close(l, n == 0 ? "peer closed it" : message_of(error));
-        l.last_received_ = now();
-        l.unanswered_since_.reset();
+        l.health_ = mark_received(l.health_, now());
         l.in_.append(read_buffer_.data(), static_cast<std::size_t>(n));
         take_frames(l);
         if (static_cast<std::size_t>(n) < read_buffer_.size())
@@ -153,7 +143,10 @@
             [&](ping_frame const&) { queue(l, pong_frame{}, 0); },
             [&](pong_frame const&) { take_pong(l); },
             [&](message_frame& m)
-            { handlers_.received_(l.host_, std::move(m.bytes_)); },
+            {
+                l.health_ = mark_used(l.health_, now());
+                handlers_.received_(l.host_, std::move(m.bytes_));
+            },
             [&](auto const&) { close(l, "a greeting on a proven link"); },
         },
         f);
@@ -208,7 +201,7 @@
             queue(l, message_frame{std::move(bytes)}, tag);
     }
     if (l.stage_ != link_stage::closed)
-        arm(l, l.unanswered_since_ ? probe_step : idle_probe);
+        arm_check(l);
 }
 
 void peer_links::queue(link& l, peer_frame f, std::uint64_t tag)
@@ -216,7 +209,10 @@
     std::string const bytes = encode_frame(f);
     message_frame* message = std::get_if<message_frame>(&f);
     if (std::holds_alternative<ping_frame>(f))
+    {
         ++l.pings_;
+        l.health_ = mark_probed(l.health_, now());
+    }
     bool const asks = !std::holds_alternative<pong_frame>(f);
     if (l.waiting_.out_.size() + bytes.size() > max_waiting_bytes)
     {
@@ -227,10 +223,12 @@
     add_frame(
         l.waiting_, bytes, message ? std::move(message->bytes_) : std::string{},
         tag);
-    if (asks && !l.unanswered_since_ && l.stage_ == link_stage::ready)
+    if (message)
+        l.health_ = mark_used(l.health_, now());
+    if (asks && !l.health_.unanswered_since_ && l.stage_ == link_stage::ready)
     {
-        l.unanswered_since_ = now();
-        arm(l, probe_after);
+        l.health_ = mark_asked(l.health_, now());
+        arm_check(l);
     }
     flush(l);
 }
@@ -274,90 +272,6 @@
         &l);
 }
 
-void peer_links::arm(link& l, duration after)
-{
-    instant const due = now() + after;
-    if (l.timer_due_ && *l.timer_due_ <= due)
-        return; // tend() sets the next time
-    l.timer_due_ = due;
-    if (!l.timer_)
-        l.timer_ = make_timer(
-            [&l]
-            {
-                l.timer_due_.reset();
-                l.owner_->tend(l);
-            });
-    set_timer_due(l.timer_, due);
-}
-
-void peer_links::tend(link& l)
-{
-    if (l.stage_ != link_stage::ready)
-        return close(l, "it was not made in time");
-    instant const at = now();
-    // After a pause of this process the answer may be there, not read yet.
-    if (l.unanswered_since_ && at - *l.unanswered_since_ >= close_after)
-        read_ready(l);
-    if (l.stage_ == link_stage::closed)
-        return;
-    if (l.unanswered_since_)
-    {
-        duration const silent = at - *l.unanswered_since_;
-        if (silent >= close_after)
-            return close(l, "the peer is silent");
-        if (silent >= probe_after)
-            queue(l, ping_frame{}, 0);
-        if (l.stage_ != link_stage::closed)
-            arm(l, std::max(probe_step, probe_after - silent));
-        return;
-    }
-    duration const idle = at - l.last_received_;
-    if (!l.outbound_ && idle >= idle_close)
-        return close(l, "it was idle");
-    if (l.outbound_ && idle >= idle_probe)
-        return queue(l, ping_frame{}, 0);
-    arm(l, idle_probe);
-}
-
-peer_links::link* peer_links::link_to(host_name const& host)
-{
-    link* best = nullptr;
-    for (link& l : links_)
-    {
-        if (l.host_ != host || l.stage_ == link_stage::closed)
-            continue;
-        if (!best || l.outbound_ || !best->outbound_)
-            best = &l;
-    }
-    return best;
-}
-
-void peer_links::send(host_name const& to, std::string bytes, std::uint64_t tag)
-{
-    if (finished_)
-        return handlers_.undelivered_(to, std::move(bytes));
-    link* l = link_to(to);
-    bool const known = addresses_.contains(to);
-    if (known && (!l || !l->outbound_))
-    {
-        auto const failed = failed_.find(to);
-        bool const wait =
-            failed != failed_.end() && now() - failed->second < reconnect_delay;
-        if (!wait)
-        {
-            connect_to(to);
-            if (!l)
-                l = link_to(to);
-        }
-    }
-    if (!l)
-        return handlers_.undelivered_(to, std::move(bytes));
-    if (l->stage_ == link_stage::ready)
-        queue(*l, message_frame{std::move(bytes)}, tag);
-    else
-        l->before_ready_.emplace_back(std::move(bytes), tag);
-}
-
 void peer_links::take_pong(link& l)
 {
     if (l.pings_ > 0)
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -75,6 +76,15 @@
 private:
     struct link;
 
+    // Kinds of links with a host; the last is used first.
+    enum class preference
+    {
+        doubted,    // silent since another link with the host was
+        connecting, // opened by this side
+        peers,      // opened by the peer
+        own
+    };
+
     link& add_link();
     void accept(GSocketConnection* connection);
     void connect_to(host_name const& host);
@@ -90,9 +100,18 @@
     void queue(link& l, peer_frame f, std::uint64_t tag);
     void flush(link& l);
     void arm(link& l, duration after);
+    void arm_check(link& l);
     void tend(link& l);
+    void close_silent(link& l);
+    bool is_trusted(link const& l) const;
     void become_ready(link& l);
+    preference preference_of(link const& l) const;
     link* link_to(host_name const& host);
+    bool has_own_link(host_name const& host) const;
+    bool may_connect(host_name const& host) const;
+    void give_back(
+        host_name const& host,
+        std::deque<std::pair<std::string, std::uint64_t>> waiting);
 
     host_name self_;
     endpoint listen_;
@@ -102,6 +121,8 @@
     object_ptr<GSocketClient> client_;
     std::map<host_name, endpoint> addresses_;
     std::map<host_name, instant> failed_; // connects that failed lately
+    // When bytes were sent over a link with a host that proved silent.
+    std::map<host_name, instant> doubted_since_;
     std::list<link> links_;
     bool finished_ = false;
     later collect_{[this] { collect_closed(); }};
