Read callers' bytes one part at a time

Traced: alone it took 4.8 s of processor time, 82 % of it moving up what was left of 256 KiB of input after each small request. Plain, half of 0.54 s went there, too. A part of input is now 16 KiB at most.

--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -16,9 +16,7 @@
 namespace
 {
 
-constexpr std::size_t read_bytes = 32 << 10;
-// Reads for one event, so that one peer does not hold the others up.
-constexpr int reads_at_once = 8;
+constexpr std::size_t read_bytes = 16 << 10;
 constexpr int listen_backlog = 1024;
 
 sockaddr_in to_socket_address(endpoint const& e)
@@ -143,31 +141,18 @@
     return G_SOURCE_CONTINUE;
 }
 
+// One read at a time: requests that came together are taken from the front of
+// the input, and what is left moves up each time.
 void byte_stream::receive()
 {
     static std::array<char, read_bytes> chunk;
-    bool grown = false;
-    for (int i = 0; i < reads_at_once; ++i)
-    {
-        ssize_t const n = recv(fd_, chunk.data(), chunk.size(), 0);
-        if (n < 0 && (errno == EAGAIN || errno == EINTR))
-            break;
-        if (n <= 0)
-        {
-            // What came before the end is handed on first.
-            if (grown)
-                handlers_.received_();
-            if (fd_ >= 0)
-                end(n == 0 ? stream_end::finished : stream_end::broken);
-            return;
-        }
-        in_.append(chunk.data(), static_cast<std::size_t>(n));
-        grown = true;
-        if (static_cast<std::size_t>(n) < chunk.size())
-            break;
-    }
-    if (grown)
-        handlers_.received_();
+    ssize_t const n = recv(fd_, chunk.data(), chunk.size(), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    if (n <= 0)
+        return end(n == 0 ? stream_end::finished : stream_end::broken);
+    in_.append(chunk.data(), static_cast<std::size_t>(n));
+    handlers_.received_();
 }
 
 void byte_stream::write(std::string const& bytes)
