--- /dev/null
+++ b/test/correctness/earlier_gates.cpp
@@ -0,0 +1,74 @@
+// Gates of earlier builds report nothing of forwards: what was written to a
+// link that ended is given up, and what was written later is not.
+#include <catch2/catch.hpp>
+
+#include "single_node.hpp"
+
+using namespace jackdawhall;
+using namespace jackdawhall::calls;
+using namespace jackdawhall::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+host_name const gate = name_literal<host_name>("gate");
+constexpr std::uint64_t earlier_build = 0;
+
+call_number forward_new_call(single_node& entry)
+{
+    static std::uint64_t caller = 0;
+    entry.give(caller_request{++caller, {"GET", "/plans", {}, {}}});
+    std::vector<forward_request> const sent = entry.sent<forward_request>();
+    REQUIRE(sent.size() == 1);
+    return sent[0].number_;
+}
+
+bool is_awaited(single_node const& entry, call_number forward)
+{
+    return entry.state().call_of_forward_.contains(forward);
+}
+
+} // namespace
+
+TEST_CASE("forwards to an earlier gate are lost with the link they went over")
+{
+    single_node entry;
+    entry.learn({single_node::server_at(gate, earlier_build)});
+    call_number const before = forward_new_call(entry);
+    call_number const newest = forward_new_call(entry);
+    call_number const later = forward_new_call(entry);
+    entry.give(link_lost{gate, newest});
+    CHECK_FALSE(is_awaited(entry, before));
+    CHECK_FALSE(is_awaited(entry, newest));
+    CHECK(is_awaited(entry, later));
+    CHECK(entry.sent<forward_inquiry>().empty());
+}
+
+TEST_CASE("an earlier gate is not asked, nor its silence waited for")
+{
+    single_node entry;
+    entry.learn({single_node::server_at(gate, earlier_build)});
+    call_number const n = forward_new_call(entry);
+    entry.give(link_lost{gate, 0});
+    CHECK(entry.sent<forward_inquiry>().empty());
+    entry.pass(1s);
+    CHECK(is_awaited(entry, n));
+}
+
+TEST_CASE("a gate that reports is asked for just its own forwards")
+{
+    single_node entry;
+    entry.learn({single_node::server_at(gate, 77)});
+    call_number const n = forward_new_call(entry);
+    entry.learn({single_node::server_at(gate, earlier_build)});
+    call_number const lost = forward_new_call(entry);
+    entry.give(link_lost{gate, lost});
+    CHECK_FALSE(is_awaited(entry, lost));
+    CHECK(is_awaited(entry, n));
+    std::vector<forward_inquiry> const asked = entry.sent<forward_inquiry>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].incarnation_ == 77);
+    CHECK(
+        asked[0].forwards_ == std::vector{unanswered_forward{n, duration{0}}});
+}
--- a/test/support/single_node.hpp
+++ b/test/support/single_node.hpp
@@ -64,17 +64,27 @@
         give(a);
     }
     // Makes an open route to the servers known, as a control host does.
-    void learn(std::vector<backend_server> servers)
+    void learn(
+        std::vector<backend_server> servers,
+        repetition repeated = repetition::repeatable)
     {
-        route_v1 plans;
+        route_v2 plans;
         plans.path_prefix_ = "/plans";
-        plans.service_ = service();
+        plans.services_ = {{service(), 1}};
         plans.open_ = true;
-        plans.repeatable_ = true;
+        plans.repetition_ = repeated;
         plans.timeout_ms_ = 5000;
+        plans.attempts_ = 2;
         renewal_response r;
         r.incarnation_ = state_.incarnation_;
-        r.update_ = {0, 1, true, {{{"route", "plans", 1}, 1, plans}}, {}};
+        r.stamp_ = now_.time_since_epoch().count();
+        r.confirmed_ = true;
+        r.update_ = {
+            0,
+            state_.configuration_.revision_ + 1,
+            true,
+            {{{"route", "plans", 2}, 1, plans}},
+            {}};
         r.services_ = {{service(), std::move(servers)}};
         give(control_host(), r);
     }
@@ -124,6 +134,8 @@
         s.self_ = self();
         s.control_hosts_ = {control_host()};
         s.announcement_lifetime_ = std::chrono::hours(24);
+        s.retry_budget_policy_.slack_ = 1000;
+        s.retry_budget_policy_.nested_retry_cost_ = 1;
         return s;
     }
 
