Cap the time limit that a gate takes from a forward

A forward whose time limit was close to the largest duration overflowed its deadline, which is undefined, and so its run was never begun. A time limit is now cut to 24 h.

--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -22,6 +22,9 @@
 // outcome becomes known.
 constexpr duration outcome_grace_period = std::chrono::seconds(30);
 
+// Longest time limit that a gate takes from a forward; longer ones are cut.
+constexpr duration max_time_limit = std::chrono::hours(24);
+
 void send_answer(working_state& w, gate_run const& run, verdict v, bool shed)
 {
     forward_response a;
@@ -135,7 +138,7 @@
     run.suspect_ = f.suspect_;
     run.request_ = f.request_;
     run.created_at_ = now;
-    run.deadline_ = now + f.context_.timeout_;
+    run.deadline_ = now + std::min(f.context_.timeout_, max_time_limit);
     run.retries_left_ = f.context_.retries_;
     return run;
 }
