Say "not received" only of forwards newer than all that were forgotten

An entry numbers its forwards upwards. The gate now remembers the newest one of an entry of which it kept nothing, and says "unknown" of it and of older ones; a late copy of one is never run. No clock decides. A call that can't be retried is asked for again every 250 ms until its gate reports; a gate out of reach for 1 s has ended. A stopping gate sends its kept answers unasked. A cancelled forward that arrives later does not run. Sizes of kept answers include their headers.

--- a/packages/calls/jackdawhall/calls/forward_memory.cpp
+++ b/packages/calls/jackdawhall/calls/forward_memory.cpp
@@ -1,5 +1,6 @@
 #include <jackdawhall/calls/forward_memory.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawhall::calls
@@ -8,54 +9,90 @@
 namespace
 {
 
-// Ages beyond this are not plausible.
-constexpr duration max_age = std::chrono::hours(1);
-
-std::size_t body_bytes(forward_response const& a)
+std::size_t answer_bytes(forward_response const& a)
 {
     ran const* r = std::get_if<ran>(&a.verdict_);
-    return r ? r->answer_.body_.size() : 0;
+    if (!r)
+        return 0;
+    std::size_t bytes = r->answer_.body_.size();
+    for (header const& field : r->answer_.headers_)
+        bytes += field.name_.size() + field.value_.size();
+    return bytes;
+}
+
+// Whether `newer` comes after `older` in one run of a daemon, or is the same.
+bool follows(call_number newer, call_number older)
+{
+    return newer - older < max_forwards_of_run;
+}
+
+void forget(forward_memory& m, forward_key const& key)
+{
+    std::vector<call_number>& newest = m.forgotten_[key.first];
+    for (call_number& known : newest)
+    {
+        if (follows(known, key.second))
+            return;
+        if (follows(key.second, known))
+        {
+            known = key.second;
+            return;
+        }
+    }
+    if (newest.size() == max_remembered_runs)
+        newest.erase(newest.begin());
+    newest.push_back(key.second);
 }
 
 void drop_next_answer(forward_memory& m)
 {
     auto const next = m.answers_due_.begin();
     auto const known = m.answers_.find(next->second);
-    m.answer_bytes_ -= body_bytes(known->second.answer_);
+    m.answer_bytes_ -= answer_bytes(known->second.answer_);
+    forget(m, next->second);
     m.answers_.erase(known);
     m.answers_due_.erase(next);
 }
 
-void drop_expired_answers(forward_memory& m, instant now)
+void drop_excess_answers(forward_memory& m)
 {
-    while (!m.answers_due_.empty() && m.answers_due_.begin()->first <= now)
+    while (m.answers_.size() > max_kept_answers ||
+           m.answer_bytes_ > max_kept_answer_bytes)
         drop_next_answer(m);
 }
 
-void drop_excess_answers(forward_memory& m, instant now)
+} // namespace
+
+forward_memory expire_memory(forward_memory m, instant now)
 {
-    while (m.answers_.size() > max_kept_answers ||
-           m.answer_bytes_ > max_kept_answer_bytes)
-    {
+    while (!m.answers_due_.empty() && m.answers_due_.begin()->first <= now)
         drop_next_answer(m);
-        m.complete_since_ = now;
+    while (!m.refused_due_.empty() && m.refused_due_.front().first <= now)
+    {
+        forget(m, m.refused_due_.front().second);
+        m.refused_.erase(m.refused_due_.front().second);
+        m.refused_due_.pop_front();
     }
+    return m;
 }
 
-} // namespace
-
 forward_memory keep_answer(
     forward_memory m, forward_key const& key, forward_response answer,
     instant deadline, instant now)
 {
-    drop_expired_answers(m, now);
+    m = expire_memory(std::move(m), now);
     instant const until = deadline + answer_retention;
-    if (now >= until || m.answers_.contains(key))
-        return m; // the entry no longer waits, or has the first answer
-    m.answer_bytes_ += body_bytes(answer);
+    if (m.answers_.contains(key))
+        return m; // the entry is told the first answer
+    if (now >= until)
+    {
+        forget(m, key);
+        return m;
+    }
+    m.answer_bytes_ += answer_bytes(answer);
     m.answers_.emplace(key, kept_answer{std::move(answer), until});
     m.answers_due_.emplace(until, key);
-    drop_excess_answers(m, now);
+    drop_excess_answers(m);
     return m;
 }
 
@@ -76,21 +113,19 @@
     return numbers;
 }
 
-bool covers(forward_memory const& m, duration age, instant now)
+bool is_forgotten(forward_memory const& m, forward_key const& key)
 {
-    if (age < duration{0} || age > max_age)
-        return false;
-    return now - age - answer_retention >= m.complete_since_;
+    auto const known = m.forgotten_.find(key.first);
+    return known != m.forgotten_.end() &&
+           std::any_of(
+               known->second.begin(), known->second.end(),
+               [&](call_number newest) { return follows(newest, key.second); });
 }
 
 forward_memory
 refuse_forward(forward_memory m, forward_key const& key, instant now)
 {
-    while (!m.refused_due_.empty() && m.refused_due_.front().first <= now)
-    {
-        m.refused_.erase(m.refused_due_.front().second);
-        m.refused_due_.pop_front();
-    }
+    m = expire_memory(std::move(m), now);
     if (m.refused_.size() >= max_refused_forwards)
         return m;
     if (m.refused_.insert(key).second)
--- a/packages/calls/jackdawhall/calls/forward_memory.hpp
+++ b/packages/calls/jackdawhall/calls/forward_memory.hpp
@@ -21,11 +21,13 @@
 inline constexpr std::size_t max_kept_answers = 16384;
 inline constexpr std::size_t max_kept_answer_bytes = 16 << 20;
 inline constexpr std::size_t max_refused_forwards = 8192;
-// An entry asks for an answer within the deadline of the call; the inquiry may
-// be on its way for this long.
-inline constexpr duration answer_retention = std::chrono::milliseconds(500);
-// Longest time that a frame may be on its way on a link that has ended.
+// Answers are kept for this long after the deadline of the call.
+inline constexpr duration answer_retention = std::chrono::seconds(1);
 inline constexpr duration refused_forward_lifetime = std::chrono::minutes(1);
+// An entry numbers the forwards of one run of its daemon upwards from a random
+// number, and makes fewer than this many.
+inline constexpr call_number max_forwards_of_run = call_number{1} << 32;
+inline constexpr std::size_t max_remembered_runs = 4; // of one entry's daemon
 
 // Host of the entry, and the forward's number there.
 using forward_key = std::pair<host_name, call_number>;
@@ -42,10 +44,11 @@
     std::map<forward_key, kept_answer> answers_;
     std::set<std::pair<instant, forward_key>> answers_due_;
     std::size_t answer_bytes_ = 0;
-    // Answers given before may have been dropped to keep the bounds.
-    instant complete_since_ = instant::min();
     std::set<forward_key> refused_;
     std::deque<std::pair<instant, forward_key>> refused_due_; // oldest first
+    // The newest forward of each run of an entry's daemon of which nothing else
+    // is kept any more.
+    std::map<host_name, std::vector<call_number>> forgotten_;
     auto operator<=>(forward_memory const&) const = default;
 };
 
@@ -62,8 +65,12 @@
 std::vector<call_number>
 answered_forwards(forward_memory const& m, host_name const& entry);
 
-// Whether the answer to a forward sent `age` ago would still be kept.
-bool covers(forward_memory const& m, duration age, instant now);
+// Drops what is kept no longer.
+forward_memory expire_memory(forward_memory m, instant now);
+
+// Whether a forward may have been answered, with nothing kept of it: it is not
+// newer than one that was forgotten.
+bool is_forgotten(forward_memory const& m, forward_key const& key);
 
 // Remembers that a forward must not run should it arrive later. Leaves the
 // memory as it is if it is full.
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -317,6 +317,15 @@
            is_refused(s.forward_memory_, key);
 }
 
+// A cancellation may arrive before its forward, over another link.
+working_state refuse_cancelled(working_state w, forward_key const& key)
+{
+    forward_memory& m = w.state_->forward_memory_;
+    if (!find_answer(m, key) && !is_forgotten(m, key))
+        m = refuse_forward(std::move(m), key, w.at_.now_);
+    return w;
+}
+
 void log_late_copy(
     working_state& w, host_name const& entry, forward_request const& f)
 {
@@ -344,6 +353,15 @@
         log_late_copy(w, entry, f);
         return w;
     }
+    if (is_forgotten(w.state_->forward_memory_, {entry, f.number_}))
+    {
+        log_late_copy(w, entry, f);
+        forward_response a;
+        a.number_ = f.number_;
+        a.verdict_ = may_have_run{indeterminate_reason::peer_lost};
+        send_message(w, entry, std::move(a));
+        return w;
+    }
     gate_run run = make_run(*w.state_, entry, f, w.at_.now_);
     if (std::optional<refusal_reason> const why = find_refusal_reason(w, f))
     {
@@ -444,7 +462,7 @@
 {
     auto const known = w.state_->run_of_forward_.find({entry, forward});
     if (known == w.state_->run_of_forward_.end())
-        return w;
+        return refuse_cancelled(std::move(w), {entry, forward});
     end_run(w, w.state_->runs_.at(known->second), "cancelled by the entry");
     return w;
 }
--- a/packages/calls/jackdawhall/calls/inquire_forwards.cpp
+++ b/packages/calls/jackdawhall/calls/inquire_forwards.cpp
@@ -11,9 +11,12 @@
 namespace
 {
 
-// A repeatable call is retried elsewhere if the gate does not report within
-// this time. Others wait for their answer, as they can't be repeated.
+constexpr duration inquiry_interval = std::chrono::milliseconds(250);
+// A call that can be retried is retried elsewhere if the gate does not report
+// within this time. Others wait for their answer.
 constexpr duration report_timeout = std::chrono::milliseconds(400);
+// A gate that can't be reached for this long has ended.
+constexpr duration gate_return_time = std::chrono::seconds(1);
 
 entry_call* find_call(state& s, call_number forward)
 {
@@ -38,8 +41,29 @@
 
 void await_report(state& s, entry_call& c, instant now)
 {
-    if (c.context_.repeatable_ && !c.wake_at_)
-        set_wake_up(s, c, now + report_timeout);
+    std::optional<instant>& since = c.forward_->unreported_since_;
+    since = since.value_or(now);
+    instant const overdue_at = *since + report_timeout;
+    instant const again_at = now + inquiry_interval;
+    set_wake_up(
+        s, c, now < overdue_at ? std::min(again_at, overdue_at) : again_at);
+}
+
+void take_report(state& s, entry_call& c)
+{
+    c.forward_->unreported_since_.reset();
+    set_wake_up(s, c, std::nullopt);
+}
+
+// Whether the call would be retried if its forward were lost.
+bool can_retry(state const& s, entry_call const& c, instant now)
+{
+    entry_call after = c;
+    ++after.servers_reached_;
+    return decide_retry(
+               s, after, may_have_run{indeterminate_reason::peer_lost}, false,
+               now)
+        .has_value();
 }
 
 // The forwards to a host that have no answer, in the order of their numbers.
@@ -74,7 +98,7 @@
     {
         if (f.server_.incarnation_ != incarnation)
             continue;
-        asked.forwards_.push_back({f.number_, w.at_.now_ - f.created_at_});
+        asked.forwards_.push_back(f.number_);
         await_report(*w.state_, *find_call(*w.state_, f.number_), w.at_.now_);
     }
     log_inquiry(w, host, asked);
@@ -117,7 +141,7 @@
     {
     case forward_status::in_progress:
         if (awaited)
-            set_wake_up(*w.state_, *c, std::nullopt);
+            take_report(*w.state_, *c);
         else
             send_message(w, gate, cancel_forward{f.number_});
         return w;
@@ -167,21 +191,34 @@
 working_state handle_inquiry_not_sent(
     working_state w, host_name const& gate, forward_inquiry const& asked)
 {
-    for (unanswered_forward const& f : asked.forwards_)
+    instant const now = w.at_.now_;
+    for (call_number const number : asked.forwards_)
     {
-        entry_call const* c = find_call_at(*w.state_, gate, f.number_);
-        if (!c)
+        entry_call const* c = find_call_at(*w.state_, gate, number);
+        if (!c || !c->forward_->unreported_since_)
             continue;
+        bool const ended =
+            now - *c->forward_->unreported_since_ >= gate_return_time;
+        if (!ended && !can_retry(*w.state_, *c, now))
+            continue; // asked again at its wake-up
         log_outcome(w, *c, "gate out of reach");
-        w = lose_forward(std::move(w), f.number_);
+        w = lose_forward(std::move(w), number);
     }
     return w;
 }
 
-working_state expire_report(working_state w, call_number call)
+working_state repeat_inquiry(working_state w, call_number call)
 {
-    active_forward const f = *w.state_->calls_.at(call).forward_;
-    log_outcome(w, w.state_->calls_.at(call), "no report");
+    entry_call const& c = w.state_->calls_.at(call);
+    active_forward const f = *c.forward_;
+    instant const now = w.at_.now_;
+    bool const overdue = now - *f.unreported_since_ >= report_timeout;
+    if (!overdue || !can_retry(*w.state_, c, now))
+    {
+        send_inquiry(w, f.server_.host_, f.server_.incarnation_, {f});
+        return w;
+    }
+    log_outcome(w, c, "no report");
     send_message(w, f.server_.host_, cancel_forward{f.number_});
     return lose_forward(std::move(w), f.number_);
 }
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -70,8 +70,8 @@
     return not_run{refusal_reason::deadline_passed};
 }
 
-// Resumes the calls whose wake-up is due, ends the forwards whose report is
-// overdue, and finishes the calls past their deadline.
+// Resumes the calls whose wake-up is due, asks again for forwards whose gate
+// has not reported, and finishes the calls past their deadline.
 working_state expire_calls(working_state w)
 {
     state& s = *w.state_;
@@ -81,7 +81,7 @@
         entry_call& c = s.calls_.at(number);
         if (w.at_.now_ < c.deadline_)
         {
-            w = c.forward_ ? expire_report(std::move(w), number)
+            w = c.forward_ ? repeat_inquiry(std::move(w), number)
                            : resume_call(std::move(w), number);
             continue;
         }
@@ -226,6 +226,8 @@
 {
     w = expire_calls(std::move(w));
     w = expire_runs(std::move(w));
+    w.state_->forward_memory_ =
+        expire_memory(std::move(w.state_->forward_memory_), w.at_.now_);
     w = expire_announcements(std::move(w));
     w = track_lease(std::move(w));
     w = send_renewal(std::move(w));
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -102,11 +102,13 @@
 working_state inquire_after_link_loss(working_state w, link_lost const& l);
 working_state handle_forward_report(
     working_state w, host_name const& gate, forward_report const& r);
-// Ends the forwards of an inquiry whose gate can't be reached.
+// Ends the forwards of an inquiry whose gate can't be reached, if their calls
+// can be retried or the gate has been out of reach for long.
 working_state handle_inquiry_not_sent(
     working_state w, host_name const& gate, forward_inquiry const& asked);
-// Ends the forward of a call whose gate has not reported in time.
-working_state expire_report(working_state w, call_number call);
+// Asks the gate of a call's forward again, or ends the forward if the call can
+// be retried and the gate has not reported in time.
+working_state repeat_inquiry(working_state w, call_number call);
 // Finishes a call that is no longer in state::calls_: settles its claim,
 // returns its unused retries, and answers all who wait for it.
 working_state finish_call(working_state w, entry_call c, verdict v);
--- a/packages/calls/jackdawhall/calls/report_forwards.cpp
+++ b/packages/calls/jackdawhall/calls/report_forwards.cpp
@@ -2,6 +2,8 @@
 // runs, keeps their answers, and reports on both.
 #include <jackdawhall/calls/pipeline_context.hpp>
 
+#include <array>
+
 namespace jackdawhall::calls
 {
 
@@ -12,13 +14,14 @@
 // time, has ended.
 constexpr duration entry_return_time = std::chrono::seconds(1);
 
+// Of a forward that has no run and no kept answer here. `incarnation`: of the
+// daemon that it was sent to.
 reported_forward report_unknown(
-    working_state& w, forward_key const& key, std::uint64_t incarnation,
-    duration age)
+    working_state& w, forward_key const& key, std::uint64_t incarnation)
 {
     forward_memory& m = w.state_->forward_memory_;
     bool const would_know =
-        incarnation == w.state_->incarnation_ && covers(m, age, w.at_.now_);
+        incarnation == w.state_->incarnation_ && !is_forgotten(m, key);
     if (would_know)
         m = refuse_forward(std::move(m), key, w.at_.now_);
     bool const never_runs = would_know && is_refused(m, key);
@@ -39,14 +42,32 @@
 }
 
 void log_report(
-    working_state& w, host_name const& entry, std::size_t in_progress,
-    std::size_t answered)
+    working_state& w, std::string_view text, host_name const& entry,
+    forward_report const& r)
 {
+    std::array<std::size_t, static_cast<std::size_t>(forward_status::last_) + 1>
+        counts{};
+    for (reported_forward const& f : r.forwards_)
+        ++counts.at(static_cast<std::size_t>(f.status_));
+    auto const count = [&](forward_status status)
+    { return std::to_string(counts.at(static_cast<std::size_t>(status))); };
     w.effects_.push_back(log_message{
-        "a link with an entry ended; reporting on its forwards",
+        std::string(text),
         {{"entry", entry.str()},
-         {"in_progress", std::to_string(in_progress)},
-         {"answered", std::to_string(answered)}}});
+         {"in_progress", count(forward_status::in_progress)},
+         {"answered", count(forward_status::answered)},
+         {"not_received", count(forward_status::not_received)},
+         {"unknown", count(forward_status::unknown)}}});
+}
+
+// Sends the answers of an entry's forwards again.
+void resend_answers(
+    working_state& w, host_name const& entry,
+    std::vector<call_number> const& numbers)
+{
+    for (call_number const number : numbers)
+        send_message(
+            w, entry, *find_answer(w.state_->forward_memory_, {entry, number}));
 }
 
 } // namespace
@@ -60,11 +81,16 @@
     forward_report report;
     for (call_number const number : running)
         report.forwards_.push_back({number, forward_status::in_progress});
+    // Soon nobody will be here to ask for them.
+    if (s.stopping_since_)
+        resend_answers(w, entry, answered);
     for (call_number const number : answered)
         report.forwards_.push_back({number, forward_status::answered});
     if (report.forwards_.empty())
         return w;
-    log_report(w, entry, running.size(), answered.size());
+    log_report(
+        w, "a link with an entry ended; reporting on its forwards", entry,
+        report);
     send_message(w, entry, std::move(report));
     return w;
 }
@@ -73,26 +99,29 @@
     working_state w, host_name const& entry, forward_inquiry const& asked)
 {
     forward_report report;
-    for (unanswered_forward const& f : asked.forwards_)
+    for (call_number const number : asked.forwards_)
     {
         state& s = *w.state_;
-        forward_key const key{entry, f.number_};
+        forward_key const key{entry, number};
         auto const run = s.run_of_forward_.find(key);
         if (run != s.run_of_forward_.end())
         {
             set_abandoned(s, s.runs_.at(run->second), std::nullopt);
-            report.forwards_.push_back(
-                {f.number_, forward_status::in_progress});
+            report.forwards_.push_back({number, forward_status::in_progress});
             continue;
         }
+        // A kept answer says all that a report on its forward would.
         if (forward_response const* kept = find_answer(s.forward_memory_, key))
             send_message(w, entry, *kept);
         else
             report.forwards_.push_back(
-                report_unknown(w, key, asked.incarnation_, f.age_));
+                report_unknown(w, key, asked.incarnation_));
     }
-    if (!report.forwards_.empty())
-        send_message(w, entry, std::move(report));
+    if (report.forwards_.empty())
+        return w;
+    log_report(
+        w, "an entry asked for forwards after its link ended", entry, report);
+    send_message(w, entry, std::move(report));
     return w;
 }
 
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -83,6 +83,9 @@
     backend_server server_;
     instant created_at_;
     std::uint32_t delegated_retries_ = 0; // lent to the gate
+    // Since when the gate was asked what became of the forward and has not
+    // reported; nullopt: it was not asked, or has reported.
+    std::optional<instant> unreported_since_;
     auto operator<=>(active_forward const&) const = default;
 };
 
@@ -115,7 +118,7 @@
     std::optional<active_forward> forward_;
     std::optional<call_number> outcome_request_; // number of the request
     // Next check of a waiting call. Of a call that is forwarded: when its gate
-    // must have reported on it.
+    // is asked again what became of it.
     std::optional<instant> wake_at_;
     auto operator<=>(entry_call const&) const = default;
 };
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -237,8 +237,6 @@
     &forward_response::shed_, &forward_response::makes_calls_,
     &forward_response::time_at_gate_)
 JACKDAWHALL_FIELDS(cancel_forward, &cancel_forward::number_)
-JACKDAWHALL_FIELDS(
-    unanswered_forward, &unanswered_forward::number_, &unanswered_forward::age_)
 JACKDAWHALL_FIELDS(
     forward_inquiry, &forward_inquiry::incarnation_,
     &forward_inquiry::forwards_)
--- a/test/correctness/frozen_gate.cpp
+++ b/test/correctness/frozen_gate.cpp
@@ -104,3 +104,36 @@
     REQUIRE(given.size() == 1);
     CHECK(given[0].verdict_ == late.verdict_);
 }
+
+TEST_CASE("a payment at work outlasts an inquiry that could not be sent")
+{
+    forwarded_call c = forward_call(repetition::once_per_attempt);
+    single_node& entry = c.entry_;
+    entry.give(link_lost{gate, c.forward_});
+    forward_inquiry const asked = entry.sent<forward_inquiry>().at(0);
+    entry.give(message_not_sent{{gate, asked}});
+    CHECK(entry.state().call_of_forward_.contains(c.forward_));
+    entry.pass(250ms);
+    CHECK(entry.sent<forward_inquiry>() == std::vector{asked});
+    entry.give(
+        gate, forward_report{{{c.forward_, forward_status::in_progress}}});
+    entry.give(message_not_sent{{gate, asked}});
+    entry.pass(2s);
+    CHECK(entry.state().call_of_forward_.contains(c.forward_));
+    CHECK(entry.sent<forward_inquiry>().empty());
+}
+
+TEST_CASE("a payment is not awaited from a gate that stays out of reach")
+{
+    forwarded_call c = forward_call(repetition::once_per_attempt);
+    single_node& entry = c.entry_;
+    entry.give(link_lost{gate, c.forward_});
+    forward_inquiry const asked = entry.sent<forward_inquiry>().at(0);
+    entry.pass(1s);
+    entry.give(message_not_sent{{gate, asked}});
+    std::vector<answer_caller> const given = entry.made<answer_caller>();
+    REQUIRE(given.size() == 1);
+    CHECK(
+        given[0].verdict_ ==
+        verdict{may_have_run{indeterminate_reason::peer_lost}});
+}
