Send an operator's change again when a link with the leader ends

Operators heard "the link to the leader failed" for changes and documents that the leader had, went on with, and brought into force.

Cause: the end of any one link with the leader was taken for the loss of every request that had been forwarded to it. A request that no link took was reported to the call node alone, so its operator heard after 5 s.

Now the host that forwarded sends the request again over another link, and the leader repeats the answers of the last 5 s to the host with which a link ended. A leader recognizes a request by host, number and operation id, in progress or answered within a minute (4,096 at most). A document that is refused is not kept in the replicated state; a copy taken later could be accepted. So documents are sent again as a new message, resent_document (appended), which a leader of another term doesn't propose but answers as unknown. A request that cannot be sent twice in a row is answered at once: unknown.

--- a/packages/control/jackdawhall/control.hpp
+++ b/packages/control/jackdawhall/control.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <jackdawhall/control/allocate_grants.hpp>
+#include <jackdawhall/control/answered_requests.hpp>
 #include <jackdawhall/control/apply_command.hpp>
 #include <jackdawhall/control/consensus.hpp>
 #include <jackdawhall/control/distribute_configuration.hpp>
--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -12,6 +12,7 @@
 {
     pipeline_context p{std::move(s), std::move(in), at, {}, {}, {}, false, {}};
     p = propose_operator_changes(std::move(p));
+    p = follow_forwarded_changes(std::move(p));
     p = propose_claims(std::move(p));
     p = count_crashes(std::move(p));
     p = run_consensus(std::move(p));
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include <jackdawhall/control/allocate_grants.hpp>
+#include <jackdawhall/control/answered_requests.hpp>
 #include <jackdawhall/control/apply_command.hpp>
 #include <jackdawhall/control/consensus.hpp>
 #include <jackdawhall/control/distribute_configuration.hpp>
@@ -42,25 +43,36 @@
     auto operator<=>(operator_document const&) const = default;
 };
 
-// A link to another host failed: what was sent to it may be lost, and so may
-// its answers.
+// One of the links with a host ended: what was sent over it may be lost, and so
+// may the host's answers. The host and its other links may be sound.
 struct link_lost
 {
     host_name host_;
     auto operator<=>(link_lost const&) const = default;
 };
 
+// No link took a message, so that it was not sent whole. The front end reports
+// those for which is_operator_request() holds.
+struct message_not_sent
+{
+    outgoing outgoing_;
+    auto operator<=>(message_not_sent const&) const = default;
+};
+
 using input = std::variant<
     received, timer_expired, stores_synced, operator_change, operator_document,
-    link_lost>;
+    link_lost, message_not_sent>;
 
 // --- State ------------------------------------------------------------------
 
-// How this host forwarded a request to the leader.
+// A request that this host forwarded to the leader, and how.
 struct forwarded_request
 {
     host_name leader_;
     std::uint64_t number_ = 0;
+    term_number term_ = 0; // in which it was sent first, as known here
+    std::variant<change_request, document_request> request_;
+    bool sent_again_ = false;
     auto operator<=>(forwarded_request const&) const = default;
 };
 
@@ -98,6 +110,7 @@
     // incarnation, so that a response to an earlier run of this host, which the
     // leader may send late, matches no request of this one.
     std::uint64_t last_forward_ = 0;
+    answered_requests answered_;
     std::map<std::string, crash_count> crashes_; // by fingerprint
     auto operator<=>(state const&) const = default;
 };
@@ -132,6 +145,9 @@
 // Number of changes and documents whose outcome somebody waits for.
 std::size_t changes_in_progress(state const& s);
 
+// Whether the message carries a change or document to the leader.
+bool is_operator_request(message const& m);
+
 // --- Without a node ---------------------------------------------------------
 
 // Reports of a node that ends, because its disk failed, to all that wait for
--- a/packages/control/jackdawhall/control/pipeline_context.hpp
+++ b/packages/control/jackdawhall/control/pipeline_context.hpp
@@ -21,10 +21,14 @@
 
 // Handles changes and documents from this host's operator or from another
 // control host: the leader proposes them; any other host forwards those of its
-// operator to the leader. Also passes the leader's responses on to the operator
-// and times out waiters.
+// operator to the leader. Also times out waiters.
 pipeline_context propose_operator_changes(pipeline_context p);
 
+// Passes the leader's responses on to the operator. After a link ended, sends
+// the requests and responses again that it may have lost; reports to the
+// operator if the leader cannot be reached.
+pipeline_context follow_forwarded_changes(pipeline_context p);
+
 // Proposes claims and releases on the leader; any other host rejects claims as
 // unavailable and ignores releases.
 pipeline_context propose_claims(pipeline_context p);
@@ -74,6 +78,12 @@
     std::string const& operation, operation_waiter const& to,
     change_outcome const& outcome);
 
+// Reports the outcome of an operation to its waiter, and remembers it if the
+// waiter is another host.
+void send_outcome(
+    pipeline_context& p, std::string const& operation,
+    operation_waiter const& to, change_outcome const& outcome);
+
 // Message of type M if the input is one, else null.
 template <class M>
 M const* received_message(pipeline_context const& p)
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -1,5 +1,7 @@
 #include <jackdawhall/control/pipeline_context.hpp>
 
+#include <algorithm>
+
 namespace jackdawhall::control
 {
 
@@ -13,19 +15,37 @@
     return answer_operator{to.number_, outcome};
 }
 
-namespace
-{
-
 void send_outcome(
     pipeline_context& p, std::string const& operation,
     operation_waiter const& to, change_outcome const& outcome)
 {
+    if (to.host_)
+        p.state_.answered_ = remember_answer(
+            std::move(p.state_.answered_), {*to.host_, to.number_},
+            {to.number_, outcome, operation}, p.at_.now_);
     p.effects_.push_back(tell_outcome(operation, to, outcome));
 }
 
+namespace
+{
+
+// Forwards a request to the leader under a number of its own.
+template <class Request>
+void forward_to(
+    pipeline_context& p, host_name const& leader, std::string const& operation,
+    operation_waiter from, Request request)
+{
+    state& s = p.state_;
+    request.number_ = ++s.last_forward_;
+    from.forwarded_ = forwarded_request{
+        leader, request.number_, s.consensus_.hard_state_.term_, request};
+    s.waiters_.emplace(operation, std::move(from));
+    p.effects_.push_back(send{{leader, std::move(request)}});
+}
+
 // Proposes a command if this host leads, else forwards the request of its own
-// operator to the leader under a number of its own. Stores the waiter under the
-// operation id. A request that another host forwarded is not forwarded again.
+// operator to the leader. Stores the waiter under the operation id. A request
+// that another host forwarded is not forwarded again.
 template <class Command, class Request>
 void propose_or_forward(
     pipeline_context& p, operation_waiter from, std::string const& operation,
@@ -35,15 +55,12 @@
     std::optional<host_name> const leader = leader_of(s.consensus_);
     if (is_leader(s.consensus_))
     {
-        s.waiters_.emplace(operation, from);
+        s.waiters_.emplace(operation, std::move(from));
         propose_commands(p, {std::move(command)});
     }
     else if (leader && !from.host_)
     {
-        request.number_ = ++s.last_forward_;
-        from.forwarded_ = forwarded_request{*leader, request.number_};
-        s.waiters_.emplace(operation, from);
-        p.effects_.push_back(send{{*leader, std::move(request)}});
+        forward_to(p, *leader, operation, std::move(from), std::move(request));
     }
     else
     {
@@ -72,29 +89,57 @@
         document_request{0, p.state_.consensus_.settings_.self_, wanted});
 }
 
-// True if `r` responds to the very request that was forwarded for a waiter of
-// `operation`.
-bool is_response_to(
-    std::string const& operation, operation_waiter const& waiter,
-    change_response const& r)
+bool is_in_progress(
+    state const& s, std::string const& operation, request_key const& key)
 {
-    return waiter.forwarded_ && waiter.forwarded_->number_ == r.number_ &&
-           (r.operation_.empty() || r.operation_ == operation);
+    auto const range = s.waiters_.equal_range(operation);
+    return std::any_of(
+        range.first, range.second,
+        [&](auto const& waiting)
+        {
+            return waiting.second.host_ == key.first &&
+                   waiting.second.number_ == key.second;
+        });
 }
 
-// Handles the leader's response to a change or document that this host
-// forwarded.
-void handle_change_response(pipeline_context& p, change_response const& r)
+// True if the request of another host arrived before. It is answered again, or
+// is in progress.
+bool is_repeated(
+    pipeline_context& p, std::string const& operation, request_key const& key)
 {
-    std::multimap<std::string, operation_waiter>& waiters = p.state_.waiters_;
-    for (auto found = waiters.begin(); found != waiters.end(); ++found)
-    {
-        if (!is_response_to(found->first, found->second, r))
-            continue;
-        send_outcome(p, found->first, found->second, r.outcome_);
-        waiters.erase(found);
-        return;
-    }
+    change_response const* answer = find_answer(p.state_.answered_, key);
+    bool const answered = answer && answer->operation_ == operation;
+    if (answered)
+        p.effects_.push_back(send{{key.first, *answer}});
+    return answered || is_in_progress(p.state_, operation, key);
+}
+
+void handle_request(pipeline_context& p, change_request const& r)
+{
+    std::string const& operation = r.change_.operation_id_;
+    if (!is_repeated(p, operation, {r.requester_, r.number_}))
+        handle_change(p, {r.requester_, r.number_, p.at_.now_}, r.change_);
+}
+
+void handle_request(pipeline_context& p, document_request const& r)
+{
+    std::string const operation = document_operation_id(r.document_);
+    if (!is_repeated(p, operation, {r.requester_, r.number_}))
+        handle_document(p, {r.requester_, r.number_, p.at_.now_}, r.document_);
+}
+
+// A leader of another term cannot tell whether the document is in the log
+// already: refused there, it could be accepted the second time.
+void handle_request(pipeline_context& p, resent_document const& r)
+{
+    document_request const& first = r.request_;
+    if (r.first_sent_in_ == p.state_.consensus_.hard_state_.term_)
+        return handle_request(p, first);
+    std::string const operation = document_operation_id(first.document_);
+    if (!is_repeated(p, operation, {first.requester_, first.number_}))
+        send_outcome(
+            p, operation, {first.requester_, first.number_, p.at_.now_},
+            unknown_outcome{"the leader has changed"});
 }
 
 // Tells the waiters that are `lost` that their outcome is unknown.
@@ -123,14 +168,6 @@
         { return p.at_.now_ - w.since_ >= operation_timeout; });
 }
 
-void give_up_forwarded(pipeline_context& p, host_name const& leader)
-{
-    give_up_waiters(
-        p, "the link to the leader failed",
-        [&](operation_waiter const& w)
-        { return w.forwarded_ && w.forwarded_->leader_ == leader; });
-}
-
 void reject_claim(pipeline_context& p, claim_request const& r)
 {
     p.effects_.push_back(send{
@@ -171,18 +208,15 @@
 {
     if (operator_change const* o = std::get_if<operator_change>(&p.input_))
         handle_change(p, {std::nullopt, o->number_, p.at_.now_}, o->change_);
-    if (change_request const* r = received_message<change_request>(p))
-        handle_change(p, {r->requester_, r->number_, p.at_.now_}, r->change_);
     if (operator_document const* o = std::get_if<operator_document>(&p.input_))
         handle_document(
             p, {std::nullopt, o->number_, p.at_.now_}, o->document_);
+    if (change_request const* r = received_message<change_request>(p))
+        handle_request(p, *r);
     if (document_request const* r = received_message<document_request>(p))
-        handle_document(
-            p, {r->requester_, r->number_, p.at_.now_}, r->document_);
-    if (change_response const* r = received_message<change_response>(p))
-        handle_change_response(p, *r);
-    if (link_lost const* l = std::get_if<link_lost>(&p.input_))
-        give_up_forwarded(p, l->host_);
+        handle_request(p, *r);
+    if (resent_document const* r = received_message<resent_document>(p))
+        handle_request(p, *r);
     if (std::holds_alternative<timer_expired>(p.input_))
         expire_waiters(p);
     return p;
--- a/packages/control/jackdawhall/control/run_consensus.cpp
+++ b/packages/control/jackdawhall/control/run_consensus.cpp
@@ -99,6 +99,7 @@
             [](operator_change const&) {},
             [](operator_document const&) {},
             [](link_lost const&) {},
+            [](message_not_sent const&) {},
         },
         p.input_);
     return p;
--- a/packages/control/jackdawhall/control/without_node.cpp
+++ b/packages/control/jackdawhall/control/without_node.cpp
@@ -42,6 +42,8 @@
                                       r.number_, no_node(),
                                       document_operation_id(r.document_)}};
             },
+            [](resent_document const& r) -> result
+            { return answer_without_node(r.request_); },
             [](auto const&) -> result { return std::nullopt; },
         },
         m);
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -77,7 +77,10 @@
     peers.undelivered_ = [this](host_name const& to, std::string bytes)
     {
         leaf::result<message> m = wire::decode_message(bytes);
-        if (m)
+        if (m && control::is_operator_request(m.value()))
+            give(control::input{
+                control::message_not_sent{{to, std::move(m.value())}}});
+        else if (m)
             give(calls::input{
                 calls::message_not_sent{{to, std::move(m.value())}}});
     };
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -319,6 +319,16 @@
     auto operator<=>(document_request const&) const = default;
 };
 
+// The same document, sent again because a link with the leader ended. A host
+// that leads another term than the one in which it was sent first cannot tell
+// whether it is in the log already, and proposes it no second time.
+struct resent_document
+{
+    std::uint64_t first_sent_in_ = 0; // term, as the requester knew it
+    document_request request_;
+    auto operator<=>(resent_document const&) const = default;
+};
+
 // --- Calls ------------------------------------------------------------------
 
 // Context of a call, propagated along the call chain.
@@ -419,7 +429,7 @@
     claim_released, outcome_request, outcome_response, change_request,
     change_response, forward_request, forward_response, cancel_forward,
     crash_report, control_host_list, document_request, forward_inquiry,
-    forward_report>;
+    forward_report, resent_document>;
 
 // A message to send.
 struct outgoing
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -212,6 +212,9 @@
 JACKDAWHALL_FIELDS(
     document_request, &document_request::number_, &document_request::requester_,
     &document_request::document_)
+JACKDAWHALL_FIELDS(
+    resent_document, &resent_document::first_sent_in_,
+    &resent_document::request_)
 
 JACKDAWHALL_FIELDS(header, &header::name_, &header::value_)
 JACKDAWHALL_FIELDS(
--- a/test/support/memory_network.cpp
+++ b/test/support/memory_network.cpp
@@ -82,8 +82,15 @@
     std::uint64_t const generation = hosts_[to].generation_;
     if (!hosts_[to].up_)
     {
-        at(now_ + delay, [this, from, out]
-           { deliver(from, calls::input{calls::message_not_sent{out}}); });
+        at(now_ + delay,
+           [this, from, out]
+           {
+               if (control::is_operator_request(out.message_))
+                   deliver(
+                       from, control::input{control::message_not_sent{out}});
+               else
+                   deliver(from, calls::input{calls::message_not_sent{out}});
+           });
         return;
     }
     at(delivery,
