Leave peers time to ask again when a link ends during a shutdown

Callers could get 502 for runs that a stopping host had answered: a link that went silent after its last answers were written.

Cause: the daemon waits until each link's peer has confirmed what it took, but a link that ended no longer counted as behind. So its end ended the wait, and the process was gone before the peer could ask over another link.

Now a link that ends while bytes on it are unconfirmed holds the shutdown for one more second, within the drain period; links that had confirmed hold up nothing.

Not shown with real processes.

--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -70,10 +70,7 @@
     peers.received_ = [this](host_name const& from, std::string bytes)
     { receive_bytes(from, bytes); };
     peers.lost_ = [this](host_name const& host, std::uint64_t newest)
-    {
-        give(calls::input{calls::link_lost{host, newest}});
-        give(control::input{control::link_lost{host}});
-    };
+    { take_link_lost(host, newest); };
     peers.undelivered_ = [this](host_name const& to, std::string bytes)
     {
         leaf::result<message> m = wire::decode_message(bytes);
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -124,6 +124,8 @@
     // Shutdown.
     void take_stop_signal();
     void go_on_with_shutdown();
+    void arm_shutdown_timer();
+    void take_link_lost(host_name const& host, std::uint64_t newest);
     void enter_shutdown_phase();
     void end_shutdown();
     open_work count_open_work() const;
--- a/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_shutdown.cpp
@@ -54,10 +54,28 @@
 {
     shutdown_state const next = continue_shutdown(
         shutdown_, count_open_work(), loop::read_clocks().now_);
-    if (next == shutdown_)
-        return;
+    bool const entered = next.phase_ != shutdown_.phase_;
     shutdown_ = next;
-    enter_shutdown_phase();
+    if (entered)
+        enter_shutdown_phase();
+    else if (shutdown_.phase_ == shutdown_phase::flushing)
+        arm_shutdown_timer();
+}
+
+void daemon::take_link_lost(host_name const& host, std::uint64_t newest)
+{
+    if (shutdown_.phase_ == shutdown_phase::flushing)
+        shutdown_ = note_link_lost(
+            shutdown_, count_open_work(), loop::read_clocks().now_);
+    give(calls::input{calls::link_lost{host, newest}});
+    give(control::input{control::link_lost{host}});
+}
+
+void daemon::arm_shutdown_timer()
+{
+    instant const now = loop::read_clocks().now_;
+    shutdown_timer_.set(
+        next_check(shutdown_, now) - now, [this] { go_on_with_shutdown(); });
 }
 
 void daemon::enter_shutdown_phase()
@@ -69,17 +87,14 @@
         for (loop::http_server* s : answering_servers())
             s->stop_accepting([this] { go_on_with_shutdown(); });
     }
-    // A peer that reads the end of one link before the answer on another one
-    // would take the forward for lost.
+    // What a link carried is taken once the peer has confirmed it.
     if (shutdown_.phase_ == shutdown_phase::flushing)
         links_->ask_confirmation();
     if (shutdown_.phase_ == shutdown_phase::closing)
         links_->finish_writing();
     if (shutdown_.phase_ == shutdown_phase::ended)
         return end_shutdown();
-    shutdown_timer_.set(
-        shutdown_.end_ - loop::read_clocks().now_,
-        [this] { go_on_with_shutdown(); });
+    arm_shutdown_timer();
     go_on_with_shutdown();
 }
 
--- a/packages/daemon/jackdawhall/daemon/shutdown.hpp
+++ b/packages/daemon/jackdawhall/daemon/shutdown.hpp
@@ -27,6 +27,10 @@
     instant began_;
     instant end_ = instant::max(); // of the phase, at the latest
     instant drained_by_ = instant::max();
+    // While flushing: links that were behind when last looked at, and until
+    // when peers may ask again for what a link that ended has lost.
+    std::size_t links_behind_ = 0;
+    instant inquiries_until_ = instant::min();
     auto operator<=>(shutdown_state const&) const = default;
 };
 
@@ -47,6 +51,14 @@
 // The calls and runs are finished, or given up.
 shutdown_state finish_calls(shutdown_state s, instant drained_by);
 
+// A link ended. If it was behind, what it carried may be lost, and the peer
+// asks for it over another one.
+shutdown_state
+note_link_lost(shutdown_state s, open_work const& open, instant now);
+
+// When to look at the shutdown again, if nothing happens before.
+instant next_check(shutdown_state const& s, instant now);
+
 // Goes on to the next phase, if nothing holds it up any more.
 shutdown_state
 continue_shutdown(shutdown_state s, open_work const& open, instant now);
--- a/test/correctness/shutdown_order.cpp
+++ b/test/correctness/shutdown_order.cpp
@@ -75,3 +75,38 @@
     CHECK(s.phase_ == shutdown_phase::answering);
     CHECK(s.end_ == drained_by);
 }
+
+// The daemon ended before the peer could ask for the answer over another link.
+TEST_CASE("a link that ends before its peer confirmed leaves time to ask again")
+{
+    shutdown_state s = begin_shutdown(false, drained_by, began);
+    s = continue_shutdown(s, {0, 2, 2}, began);
+    REQUIRE(s.phase_ == shutdown_phase::flushing);
+    s = note_link_lost(s, {0, 1, 1}, began);
+    s = continue_shutdown(s, {0, 0, 1}, began + second / 100);
+    CHECK(s.phase_ == shutdown_phase::flushing);
+    instant const check = next_check(s, began + second / 100);
+    CHECK(check > began + second / 100);
+    CHECK(check < drained_by);
+    s = continue_shutdown(s, {0, 0, 1}, check);
+    CHECK(s.phase_ == shutdown_phase::closing);
+}
+
+TEST_CASE("a link that ends with all confirmed holds nothing up")
+{
+    shutdown_state s = begin_shutdown(false, drained_by, began);
+    s = continue_shutdown(s, {0, 1, 2}, began);
+    s = note_link_lost(s, {0, 1, 1}, began);
+    s = continue_shutdown(s, {0, 0, 1}, began);
+    CHECK(s.phase_ == shutdown_phase::closing);
+}
+
+TEST_CASE("a lost link holds up no longer than the drain period")
+{
+    shutdown_state s = begin_shutdown(false, drained_by, began);
+    s = continue_shutdown(s, {0, 1, 1}, began);
+    s = note_link_lost(s, nothing, drained_by - second / 10);
+    CHECK(next_check(s, drained_by - second / 10) == drained_by);
+    s = continue_shutdown(s, nothing, drained_by);
+    CHECK(s.phase_ == shutdown_phase::ended);
+}
