--- a/test/failure/forwarder.cpp
+++ b/test/failure/forwarder.cpp
@@ -1,6 +1,7 @@
 // Forwards TCP connections to one address, until SIGUSR1: from then on it reads
 // and drops what comes on the connections that are open, and forwards only new
-// ones, as something between two ends does that lost track of them.
+// ones, as something between two ends does that lost track of them. At SIGUSR2
+// it resets the connections that are open, at both ends.
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -9,6 +10,7 @@
 #include <glib-unix.h>
 #include <jackdawhall/loop.hpp>
 #include <jackdawhall/loop/gobject.hpp>
+#include <sys/socket.h>
 
 namespace
 {
@@ -20,6 +22,7 @@
     object_ptr<GSocketConnection> in_;
     object_ptr<GSocketConnection> out_;
     bool silent_ = false;
+    int ended_ = 0; // directions
     char up_[65536];
     char down_[65536];
 };
@@ -32,12 +35,29 @@
 {
     pipe_pair* pair_;
     GInputStream* from_;
-    GOutputStream* to_;
+    GSocketConnection* to_;
     char* buffer_;
 };
 
 void pump_on(pump* p);
 
+GSocket* socket_of(object_ptr<GSocketConnection> const& connection)
+{
+    return g_socket_connection_get_socket(connection.get());
+}
+
+// Passes the end of one direction on; both connections are closed after that
+// of the other one.
+void end_direction(pump const& p)
+{
+    pipe_pair& pair = *p.pair_;
+    g_socket_shutdown(
+        g_socket_connection_get_socket(p.to_), FALSE, TRUE, nullptr);
+    if (++pair.ended_ == 2)
+        pairs.remove_if([&](pipe_pair const& other)
+                        { return &other == &pair; });
+}
+
 void read_done(GObject* source, GAsyncResult* result, gpointer data)
 {
     pump* p = static_cast<pump*>(data);
@@ -46,12 +66,12 @@
     bool const open = n > 0;
     if (open && !p->pair_->silent_)
         g_output_stream_write_all(
-            p->to_, p->buffer_, static_cast<gsize>(n), nullptr, nullptr,
-            nullptr);
+            g_io_stream_get_output_stream(G_IO_STREAM(p->to_)), p->buffer_,
+            static_cast<gsize>(n), nullptr, nullptr, nullptr);
     if (open)
         return pump_on(p);
     if (!p->pair_->silent_)
-        g_io_stream_close(G_IO_STREAM(p->pair_->out_.get()), nullptr, nullptr);
+        end_direction(*p);
     delete p;
 }
 
@@ -74,11 +94,9 @@
     GIOStream* in_stream = G_IO_STREAM(p.in_.get());
     GIOStream* out_stream = G_IO_STREAM(p.out_.get());
     pump_on(new pump{
-        &p, g_io_stream_get_input_stream(in_stream),
-        g_io_stream_get_output_stream(out_stream), p.up_});
+        &p, g_io_stream_get_input_stream(in_stream), p.out_.get(), p.up_});
     pump_on(new pump{
-        &p, g_io_stream_get_input_stream(out_stream),
-        g_io_stream_get_output_stream(in_stream), p.down_});
+        &p, g_io_stream_get_input_stream(out_stream), p.in_.get(), p.down_});
     return TRUE;
 }
 
@@ -96,6 +114,27 @@
     return G_SOURCE_CONTINUE;
 }
 
+// The reads that are open end, and the connections are closed by a reset.
+void reset(pipe_pair& p)
+{
+    linger const at_once{1, 0};
+    p.silent_ = false;
+    for (GSocket* const end : {socket_of(p.in_), socket_of(p.out_)})
+    {
+        setsockopt(
+            g_socket_get_fd(end), SOL_SOCKET, SO_LINGER, &at_once,
+            sizeof at_once);
+        g_socket_shutdown(end, TRUE, FALSE, nullptr);
+    }
+}
+
+gboolean reset_all(gpointer)
+{
+    for (pipe_pair& p : pairs)
+        reset(p);
+    return G_SOURCE_CONTINUE;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -116,6 +155,7 @@
     g_signal_connect(
         service.get(), "incoming", G_CALLBACK(accept_one), nullptr);
     g_unix_signal_add(SIGUSR1, go_silent, nullptr);
+    g_unix_signal_add(SIGUSR2, reset_all, nullptr);
     loop.on_stop_signal([&] { loop.quit(); });
     loop.run();
     return EXIT_SUCCESS;
