Let the soak of links fail for requests given up at which a server was at work

The soak counted 502 "may-have-run" and passed. No process is killed in it, and each stop has 30 s, so a request at which a server was at work must not be given up.

--- a/test/failure/links_soak.sh
+++ b/test/failure/links_soak.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Links go silent or are reset, daemons are stopped and started again, settings
 # are read again and the configuration changes, in an order made from a seed. No
-# key runs twice, nothing that ran is said not to have run, and each request is
-# answered. With KEEP=FOLDER, the logs are copied there.
+# key runs twice, nothing that ran is said not to have run or given up, and each
+# request is answered. With KEEP=FOLDER, the logs are copied there.
 # Usage: links_soak.sh BIN PORT [SEED [SECONDS]]
 . "$(dirname "$0")/relays.sh"
 seed=${3:-1}
@@ -116,7 +116,10 @@
 judge_result() { # NAME STATUS EXIT_CODE VERDICT...
   case "$2 $3 $4" in
     "200 0 ran") ran=$((ran + 1)); may_have_run[$1]=yes ;;
-    "502 0 may-have-run") given_up=$((given_up + 1)); may_have_run[$1]=yes ;;
+    "502 0 may-have-run")
+      given_up=$((given_up + 1)); may_have_run[$1]=yes
+      [ "$(runs_named "$1")" = 0 ] || note_wrong "$1 ran and was given up"
+      ;;
     "504 0 may-have-run") late=$((late + 1)); may_have_run[$1]=yes ;;
     [45]??" 0 not-run") not_run=$((not_run + 1)) ;;
     "000 7 ") refused=$((refused + 1)) ;; # by a daemon that has stopped
