Count bytes that a peer takes as a sign of its life

A link whose unacknowledged bytes grow fewer between two looks now has the whole time again to answer.

--- a/packages/loop/jackdawhall/loop/link_health.cpp
+++ b/packages/loop/jackdawhall/loop/link_health.cpp
@@ -77,6 +77,16 @@
     return h;
 }
 
+link_health
+mark_unacknowledged(link_health h, std::size_t unacknowledged, instant now)
+{
+    bool const progress = unacknowledged < h.unacknowledged_;
+    h.unacknowledged_ = unacknowledged;
+    if (h.unanswered_since_ && progress)
+        h.unanswered_since_ = now;
+    return h;
+}
+
 link_check
 check_link(link_health const& h, bool outbound, std::size_t links, instant now)
 {
--- a/packages/loop/jackdawhall/loop/link_health.hpp
+++ b/packages/loop/jackdawhall/loop/link_health.hpp
@@ -25,6 +25,8 @@
     std::optional<instant> unanswered_since_;
     bool stale_ = false; // not heard from lately at that time
     instant last_probed_;
+    // Bytes that the peer's kernel had not acknowledged at the last look.
+    std::size_t unacknowledged_ = 0;
     auto operator<=>(link_health const&) const = default;
 };
 
@@ -38,6 +40,11 @@
 // A probe was sent.
 link_health mark_probed(link_health h, instant now);
 
+// `unacknowledged` bytes are on their way. Fewer than at the last look: the
+// peer takes what is sent, and has the whole time again to answer.
+link_health
+mark_unacknowledged(link_health h, std::size_t unacknowledged, instant now);
+
 enum class link_action
 {
     wait,
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -103,6 +103,7 @@
     void arm_check(link& l);
     void tend(link& l);
     void close_silent(link& l);
+    static std::size_t unacknowledged_bytes(link const& l);
     bool is_trusted(link const& l) const;
     void become_ready(link& l);
     preference preference_of(link const& l) const;
--- a/packages/loop/jackdawhall/loop/peer_silence.cpp
+++ b/packages/loop/jackdawhall/loop/peer_silence.cpp
@@ -1,4 +1,7 @@
 // How links whose peer is silent are found and closed.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/peer_link.hpp>
 #include <jackdawhall/loop/peer_links.hpp>
@@ -16,6 +19,15 @@
 
 } // namespace
 
+// Bytes that wait here or that the peer's kernel has not acknowledged.
+std::size_t peer_links::unacknowledged_bytes(link const& l)
+{
+    int in_kernel = 0;
+    if (ioctl(g_socket_get_fd(l.socket_), SIOCOUTQ, &in_kernel) != 0)
+        in_kernel = 0;
+    return l.waiting_.out_.size() + static_cast<std::size_t>(in_kernel);
+}
+
 void peer_links::arm(link& l, duration after)
 {
     instant const due = now() + after;
@@ -45,6 +57,7 @@
 {
     if (l.stage_ != link_stage::ready)
         return close(l, "it was not made in time");
+    l.health_ = mark_unacknowledged(l.health_, unacknowledged_bytes(l), now());
     link_check check = check_link(l.health_, l.outbound_, links_.size(), now());
     if (check.action_ == link_action::close_silent)
     {
--- a/test/correctness/silent_links.cpp
+++ b/test/correctness/silent_links.cpp
@@ -111,6 +111,38 @@
     CHECK(links.near_lost_.size() == 1);
 }
 
+// The relay passes about 2 MB a second.
+TEST_CASE("a large message over a slow and sound link arrives")
+{
+    pair_of_links links;
+    REQUIRE(links.far_.listen());
+    links.near_.set_address(far, links.relay_.address());
+    links.near_.send(far, "first", 1);
+    links.run_for(450ms);
+    std::string const large(6'000'000, 'x');
+    links.near_.send(far, large, 2);
+    instant const end = read_clocks().now_ + 15s;
+    while (links.far_received_.size() < 2 && links.near_lost_.empty() &&
+           read_clocks().now_ < end)
+        links.run_for(50ms);
+    CHECK(links.near_lost_.empty());
+    CHECK(links.far_received_.size() == 2);
+}
+
+TEST_CASE("a peer that takes what is sent has its whole time again")
+{
+    link_health h = mark_asked(quiet_since(start), start + 100ms);
+    h = mark_probed(mark_unacknowledged(h, 5000, start + 700ms), start + 700ms);
+    link_health const taken = mark_unacknowledged(h, 4000, start + 1100ms);
+    CHECK(
+        check_link(taken, true, 1, start + 1100ms).action_ !=
+        link_action::close_silent);
+    link_health const stuck = mark_unacknowledged(h, 5000, start + 1100ms);
+    CHECK(
+        check_link(stuck, true, 1, start + 1100ms).action_ ==
+        link_action::close_silent);
+}
+
 TEST_CASE("a link that was heard from lately has a second to answer")
 {
     link_health const asked = mark_asked(quiet_since(start), start + 100ms);
--- a/test/failure/links_silent.sh
+++ b/test/failure/links_silent.sh
@@ -93,5 +93,6 @@
 round both-ways 1 "1 2" "2 1" "3 1" "1 3"
 grep -q 'closed: the peer is silent' "$run"/host?.log ||
   fail "no link was found silent"
+[ $wrong = 0 ] || grep -H 'outcome of a forward' "$run"/host?.log
 [ $wrong = 0 ] || fail "$wrong requests"
 echo "each request that ran got its answer"
