Log what is sent again after a link with the leader ended

On-call engineers could not see from the logs why a change was answered late, or as unknown, after a link had ended: nothing was written.

Now one line names the operation, the leader and the age of each request that is sent again or given up, and one the number of answers that are repeated. A new case shows that a request that no link took is sent once more and then given up.

--- a/packages/control/jackdawhall/control/forward_changes.cpp
+++ b/packages/control/jackdawhall/control/forward_changes.cpp
@@ -48,12 +48,42 @@
         f.request_);
 }
 
-void send_again(pipeline_context& p, forwarded_request& f)
+void log_forwarded(
+    pipeline_context& p, std::string const& what, std::string const& operation,
+    operation_waiter const& w)
 {
+    duration const age = p.at_.now_ - w.since_;
+    auto const age_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(age);
+    p.effects_.push_back(log_message{
+        what,
+        {{"operation", operation},
+         {"leader", w.forwarded_->leader_.str()},
+         {"age_ms", std::to_string(age_ms.count())}}});
+}
+
+void send_again(
+    pipeline_context& p, std::string const& operation, operation_waiter& w)
+{
+    forwarded_request& f = *w.forwarded_;
     f.sent_again_ = true;
+    log_forwarded(p, "change sent to the leader again", operation, w);
     p.effects_.push_back(send{{f.leader_, make_copy(f)}});
 }
 
+void repeat_answers(pipeline_context& p, host_name const& peer)
+{
+    std::vector<change_response> const answers =
+        answers_since(p.state_.answered_, peer, p.at_.now_ - operation_timeout);
+    if (answers.empty())
+        return;
+    p.effects_.push_back(log_message{
+        "a link ended; repeating the latest answers to changes",
+        {{"to", peer.str()}, {"answers", std::to_string(answers.size())}}});
+    for (change_response const& answer : answers)
+        p.effects_.push_back(send{{peer, answer}});
+}
+
 void handle_change_response(pipeline_context& p, change_response const& r)
 {
     waiter_map& waiters = p.state_.waiters_;
@@ -71,14 +101,11 @@
 {
     for (auto& waiting : p.state_.waiters_)
     {
-        std::optional<forwarded_request>& f = waiting.second.forwarded_;
+        std::optional<forwarded_request> const& f = waiting.second.forwarded_;
         if (f && f->leader_ == peer)
-            send_again(p, *f);
+            send_again(p, waiting.first, waiting.second);
     }
-    std::vector<change_response> const answers =
-        answers_since(p.state_.answered_, peer, p.at_.now_ - operation_timeout);
-    for (change_response const& answer : answers)
-        p.effects_.push_back(send{{peer, answer}});
+    repeat_answers(p, peer);
 }
 
 // A request that waited for a link may go over another one. If that is not
@@ -92,7 +119,10 @@
     if (found == waiters.end())
         return;
     if (!found->second.forwarded_->sent_again_)
-        return send_again(p, *found->second.forwarded_);
+        return send_again(p, found->first, found->second);
+    log_forwarded(
+        p, "the leader cannot be reached; outcome of a change unknown",
+        found->first, found->second);
     send_outcome(
         p, found->first, found->second,
         unknown_outcome{"the leader cannot be reached"});
--- a/test/correctness/change_after_link_end.cpp
+++ b/test/correctness/change_after_link_end.cpp
@@ -164,6 +164,18 @@
         std::move(s), received{from, std::move(m)}, {now, wall_time{}});
 }
 
+std::vector<outgoing> requests_sent(control::effects const& effects)
+{
+    std::vector<outgoing> sent;
+    for (control::effect const& e : effects)
+    {
+        send const* s = std::get_if<send>(&e);
+        if (s && control::is_operator_request(s->outgoing_.message_))
+            sent.push_back(s->outgoing_);
+    }
+    return sent;
+}
+
 std::vector<change_outcome> outcomes_told(control::effects const& effects)
 {
     std::vector<change_outcome> told;
@@ -276,3 +288,22 @@
     CHECK(answered_within(g, sent, 100ms));
     CHECK(is<unknown_outcome>(g, sent));
 }
+
+TEST_CASE("a request that no link took is sent once more, then given up")
+{
+    group g = make_group();
+    control::state const& follower = g.fleet_.control_of(g.asked_);
+    clock_reading const at{follower.membership_.report_due_, wall_time{}};
+    control::node_step const taken =
+        control::run(follower, control::operator_change{1, a_change()}, at);
+    std::vector<outgoing> const first = requests_sent(taken.effects_);
+    REQUIRE(first.size() == 1);
+    control::node_step const again = control::run(
+        taken.state_, control::message_not_sent{first.front()}, at);
+    CHECK(requests_sent(again.effects_) == first);
+    CHECK(again.state_.waiters_.size() == 1);
+    control::node_step const given_up = control::run(
+        again.state_, control::message_not_sent{first.front()}, at);
+    CHECK(requests_sent(given_up.effects_).empty());
+    CHECK(given_up.state_.waiters_.empty());
+}
