--- a/test/error/codec.cpp
+++ b/test/error/codec.cpp
@@ -30,6 +30,10 @@
     context.timeout_ = std::chrono::milliseconds(900);
     request const r{"POST", "/p?q=1", {{"a", "b"}}, std::string("\0x", 2)};
     forward_response a{9, ran{{200, {{"c", "d"}}, "body"}}, 2, 4, 5, 6, true};
+    document sent_document;
+    sent_document.version_ = 3;
+    sent_document.digest_ = "digest";
+    sent_document.contents_.push_back({{"service", "plans", 2}, service_v2{}});
     return {
         vote_request{3, v, v, 4, 2, true},
         append_request{
@@ -62,7 +66,8 @@
             9, name_literal<service_name>("plans"), "s", context, "f", r},
         a,
         forward_response{9, not_run{refusal_reason::overloaded, duration{5}}},
-        change_response{1, conflict{{"account", "acme", 1}, 7}, "operation"}};
+        change_response{1, conflict{{"account", "acme", 1}, 7}, "operation"},
+        resent_document{4, document_request{2, host, sent_document}}};
 }
 
 } // namespace
