Ask again for the outcome of a claimed request when a link ends

A resend of a payment that is in progress at another daemon waited until its deadline if the link that carried the question, or the answer, ended: callers got 502 or 504 for payments that had run.

Cause: the question was sent once, and the end of the link meant nothing to it. Now it is sent again after link_lost to the daemon that it went to, under the same number. The holder answers again, and adds no second waiter.

Not covered: an answer whose link only the holder sees end; the waiter asks when it notices the link itself.

--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -145,7 +145,12 @@
     state& s = *w.state_;
     auto const held = std::find_if(
         s.calls_.begin(), s.calls_.end(),
-        [&](auto const& c) { return c.second.outcome_request_ == r.number_; });
+        [&](auto const& c)
+        {
+            std::optional<open_outcome_request> const& asked =
+                c.second.outcome_request_;
+            return asked && asked->number_ == r.number_;
+        });
     if (held == s.calls_.end())
         return w;
     entry_call c = std::move(held->second);
@@ -293,6 +298,7 @@
             {
                 w = inquire_after_link_loss(std::move(w), l);
                 w = report_after_link_loss(std::move(w), l.host_);
+                w = ask_outcomes_again(std::move(w), l.host_);
             },
             [&](run_finished& d) { w = finish_run(std::move(w), d); },
             [&](announcement& a) { w = handle_announcement(std::move(w), a); },
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -201,8 +201,12 @@
 working_state handle_claim_response(working_state w, claim_response const& r);
 // Resends the claim releases that have not been confirmed.
 working_state resend_claim_releases(working_state w);
+// Asks a daemon again, after a link with it ended, for the outcomes that calls
+// here wait for.
+working_state ask_outcomes_again(working_state w, host_name const& holder);
 // Answers a daemon that requests the outcome of a claimed request: at once, or
-// when the call in progress here under that claim finishes.
+// when the call in progress here under that claim finishes. A question that is
+// asked again is answered again.
 working_state answer_outcome(
     working_state w, outcome_request const& r, host_name const& from);
 
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -73,6 +73,15 @@
     auto operator<=>(held_claim const&) const = default;
 };
 
+// A question for the outcome of a request to the daemon whose call of it holds
+// the claim, not answered yet.
+struct open_outcome_request
+{
+    call_number number_ = 0;
+    host_name holder_;
+    auto operator<=>(open_outcome_request const&) const = default;
+};
+
 // Host and server id.
 using server_key = std::pair<host_name, std::string>;
 
@@ -116,7 +125,7 @@
     std::vector<server_key> tried_servers_;
     std::optional<held_claim> claim_;
     std::optional<active_forward> forward_;
-    std::optional<call_number> outcome_request_; // number of the request
+    std::optional<open_outcome_request> outcome_request_;
     // Next check of a waiting call. Of a call that is forwarded: when its gate
     // is asked again what became of it.
     std::optional<instant> wake_at_;
--- a/packages/calls/jackdawhall/calls/take_claim.cpp
+++ b/packages/calls/jackdawhall/calls/take_claim.cpp
@@ -20,6 +20,13 @@
          claim_request{c.id_, c.body_hash_, c.run_, s.settings_.self_}}});
 }
 
+void send_outcome_request(working_state& w, entry_call const& c)
+{
+    send_message(
+        w, c.outcome_request_->holder_,
+        outcome_request{c.outcome_request_->number_, c.claim_->id_});
+}
+
 // Another run holds the claim. Requests the outcome from the daemon that made
 // it. If that is this daemon, the call that held the claim is gone, so the
 // outcome is unknown.
@@ -38,10 +45,9 @@
     }
     cancel_timer(*w.state_, c);
     c.wake_at_.reset();
-    c.outcome_request_ = next_number(*w.state_);
+    c.outcome_request_ = open_outcome_request{next_number(*w.state_), holder};
     schedule_timer(*w.state_, c);
-    send_message(
-        w, holder, outcome_request{*c.outcome_request_, c.claim_->id_});
+    send_outcome_request(w, c);
     return w;
 }
 
@@ -129,6 +135,16 @@
     return w;
 }
 
+working_state ask_outcomes_again(working_state w, host_name const& holder)
+{
+    for (auto const& [number, c] : w.state_->calls_)
+    {
+        if (c.outcome_request_ && c.outcome_request_->holder_ == holder)
+            send_outcome_request(w, c);
+    }
+    return w;
+}
+
 working_state
 answer_outcome(working_state w, outcome_request const& r, host_name const& from)
 {
@@ -136,8 +152,10 @@
     auto const running = s.claims_.find(r.id_);
     if (running != s.claims_.end())
     {
-        s.calls_.at(running->second)
-            .waiters_.push_back(outcome_requester{from, r.number_});
+        std::vector<waiter>& waiters = s.calls_.at(running->second).waiters_;
+        waiter const asker = outcome_requester{from, r.number_};
+        if (std::find(waiters.begin(), waiters.end(), asker) == waiters.end())
+            waiters.push_back(asker);
         return w;
     }
     verdict v = may_have_run{indeterminate_reason::already_claimed};
