Split the gate: runs that end, and servers that are removed, have files of their own

What ends runs is in end_runs.cpp, the removal of servers in remove_server.cpp, and what these share in gate_run. Only moved: sorted, the lines of before and after differ in includes, namespaces and comments.

--- /dev/null
+++ b/packages/calls/jackdawhall/calls/gate_run.hpp
@@ -0,0 +1,22 @@
+// What the files of the gate share on a run: when it is due, and how it leaves
+// the gate. Internal to the package.
+#pragma once
+
+#include <jackdawhall/calls/pipeline_context.hpp>
+
+namespace jackdawhall::calls
+{
+
+// When a queued run is refused, or a running one reaches its deadline, if it is
+// not abandoned before.
+instant due_time(gate_run const& run);
+// Removes a run from the state, and from the queue of its server.
+void erase_run(state& s, gate_run const& run);
+// Sends the outcome of a run, which was erased, to its entry, and keeps it for
+// inquiries.
+void send_answer(working_state& w, gate_run const& run, verdict v, bool shed);
+void log_refusal(working_state& w, gate_run const& run, refusal_reason reason);
+// Erases a queued run and tells its entry that it has not run.
+void refuse_run(working_state& w, call_number number, refusal_reason reason);
+
+} // namespace jackdawhall::calls
