Give cancellations again when a link with their gate ends

A run whose caller had left went on to its end if the link that carried the cancellation ended and only the entry noticed.

Cause: the gate reports on its runs when it sees a link end, and the entry then cancels those that it does not wait for; but the entry, which sees it first, had forgotten the cancelled forward. A cancellation of a forward that is not there does nothing.

--- a/packages/calls/jackdawhall/calls/inquire_forwards.cpp
+++ b/packages/calls/jackdawhall/calls/inquire_forwards.cpp
@@ -219,7 +219,7 @@
         return w;
     }
     log_outcome(w, c, "no report");
-    send_message(w, f.server_.host_, cancel_forward{f.number_});
+    cancel_at_gate(w, f.server_.host_, f.number_);
     return lose_forward(std::move(w), f.number_);
 }
 
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -131,8 +131,7 @@
         v = may_have_run{indeterminate_reason::cancelled};
         s.call_of_forward_.erase(c.forward_->number_);
         --s.server_stats_[key_of(c.forward_->server_)].in_flight_;
-        send_message(
-            w, c.forward_->server_.host_, cancel_forward{c.forward_->number_});
+        cancel_at_gate(w, c.forward_->server_.host_, c.forward_->number_);
         c.forward_.reset();
     }
     log_caller_disconnected(w, c);
@@ -299,6 +298,7 @@
                 w = inquire_after_link_loss(std::move(w), l);
                 w = report_after_link_loss(std::move(w), l.host_);
                 w = ask_outcomes_again(std::move(w), l.host_);
+                w = cancel_again(std::move(w), l.host_);
             },
             [&](run_finished& d) { w = finish_run(std::move(w), d); },
             [&](announcement& a) { w = handle_announcement(std::move(w), a); },
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -109,6 +109,11 @@
 // Asks the gate of a call's forward again, or ends the forward if the call can
 // be retried and the gate has not reported in time.
 working_state repeat_inquiry(working_state w, call_number call);
+// Cancels a forward that is not waited for any more.
+void cancel_at_gate(
+    working_state& w, host_name const& gate, call_number forward);
+// Gives recent cancellations again, after a link with their gate ended.
+working_state cancel_again(working_state w, host_name const& gate);
 // Finishes a call that is no longer in state::calls_: settles its claim,
 // returns its unused retries, and answers all who wait for it.
 working_state finish_call(working_state w, entry_call c, verdict v);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -98,6 +98,15 @@
     auto operator<=>(active_forward const&) const = default;
 };
 
+// A cancellation that may have been lost with its link.
+struct sent_cancellation
+{
+    instant until_; // when it is forgotten
+    host_name gate_;
+    call_number forward_ = 0;
+    auto operator<=>(sent_cancellation const&) const = default;
+};
+
 // A call accepted by this daemon, from a caller or from the local backend
 // server.
 struct entry_call
@@ -326,6 +335,7 @@
     std::map<std::string, local_server> local_servers_; // by server id
     std::map<call_number, entry_call> calls_;
     std::map<call_number, call_number> call_of_forward_; // forward -> call
+    std::deque<sent_cancellation> sent_cancellations_;   // oldest first
     // Next wake-up or deadline of each call.
     std::set<std::pair<instant, call_number>> call_due_;
     std::map<std::uint64_t, call_number> call_of_caller_; // http number -> call
