Keep a restarted backend server when a check of its former process fails

After a backend server had restarted under the same id, the failed probe of its former process removed the new one until its next announcement, and so did a run of the former process that found another server at its address. Forwards to it were refused meanwhile.

Cause: both were matched by id alone. Now the result of a probe counts only while the server is being probed, which a new process is not, and a run that found another server only if it started after the present process was first heard of.

Left: a restart that gives no start time is not seen as one, a new process that is probed itself takes the result of the older probe, and a deregistration names no process, so a late one still counts for the new one.

--- a/packages/calls/jackdawhall/calls/end_runs.cpp
+++ b/packages/calls/jackdawhall/calls/end_runs.cpp
@@ -126,7 +126,9 @@
             [&](backend_refused const& t)
             {
                 send_answer(w, run, not_run{t.reason_}, false);
-                if (still_known && t.reason_ == refusal_reason::server_replaced)
+                if (still_known &&
+                    t.reason_ == refusal_reason::server_replaced &&
+                    run.started_at_ >= server->second.first_heard_at_)
                     w = remove_server(
                         std::move(w), run.server_id_,
                         refusal_reason::server_replaced);
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -5,6 +5,33 @@
 namespace jackdawhall::calls
 {
 
+namespace
+{
+
+// Takes the fingerprints of the requests that broke off shortly before the
+// server ended. If crashes are attributed to some of them already, only these
+// are returned.
+std::set<std::string>
+take_suspects(working_state const& w, local_server& server)
+{
+    std::set<std::string> recent;
+    for (auto const& [when, suspect] : server.broken_requests_)
+    {
+        if (w.at_.now_ - when <= crash_window)
+            recent.insert(suspect);
+    }
+    server.broken_requests_.clear();
+    std::set<std::string> suspects;
+    for (std::string const& suspect : recent)
+    {
+        if (crash_count(w.state_->configuration_, suspect, w.at_.wall_) > 0)
+            suspects.insert(suspect);
+    }
+    return suspects.empty() ? recent : suspects;
+}
+
+} // namespace
+
 working_state
 remove_server(working_state w, std::string const& server_id, refusal_reason why)
 {
@@ -30,41 +57,33 @@
     return w;
 }
 
-working_state handle_probe_result(working_state w, probe_result const& p)
+working_state remove_ended_server(working_state w, std::string const& server_id)
 {
-    auto const known = w.state_->local_servers_.find(p.server_id_);
-    if (known == w.state_->local_servers_.end())
-        return w;
-    local_server& server = known->second;
-    server.probing_ = false;
-    std::set<std::string> recent_suspects;
-    for (auto const& [when, suspect] : server.broken_requests_)
-    {
-        if (w.at_.now_ - when <= crash_window)
-            recent_suspects.insert(suspect);
-    }
-    server.broken_requests_.clear();
-    if (p.alive_)
-        return w;
-    // If crashes are attributed to some of them already, only these are
-    // reported.
-    std::set<std::string> suspects;
-    for (std::string const& suspect : recent_suspects)
-    {
-        if (crash_count(w.state_->configuration_, suspect, w.at_.wall_) > 0)
-            suspects.insert(suspect);
-    }
-    if (suspects.empty())
-        suspects = std::move(recent_suspects);
+    std::set<std::string> const suspects =
+        take_suspects(w, w.state_->local_servers_.at(server_id));
     if (!suspects.empty())
         send_message(
             w, leader_host(*w.state_),
             crash_report{
                 w.state_->settings_.self_,
-                p.server_id_,
+                server_id,
                 {suspects.begin(), suspects.end()}});
     return remove_server(
-        std::move(w), p.server_id_, refusal_reason::connect_failed);
+        std::move(w), server_id, refusal_reason::connect_failed);
+}
+
+working_state handle_probe_result(working_state w, probe_result const& p)
+{
+    auto const known = w.state_->local_servers_.find(p.server_id_);
+    // A server that is not being probed has begun again since: the result is of
+    // its former process.
+    if (known == w.state_->local_servers_.end() || !known->second.probing_)
+        return w;
+    known->second.probing_ = false;
+    if (!p.alive_)
+        return remove_ended_server(std::move(w), p.server_id_);
+    known->second.broken_requests_.clear();
+    return w;
 }
 
 } // namespace jackdawhall::calls
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -1,7 +1,7 @@
 // Exchange with the control hosts: sends the announcements of the local backend
 // servers, receives configuration and membership, and renews the freshness
 // lease.
-#include <jackdawhall/calls/pipeline_context.hpp>
+#include <jackdawhall/calls/gate_run.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -347,9 +347,8 @@
         // The server restarted under the same id: its old state no longer
         // holds.
         w = remove_server(std::move(w), a.id_, refusal_reason::no_server);
-    // A replaced server has ended, so it is handled as a failed probe.
     if (std::optional<std::string> const old = find_replaced_server(s, a))
-        w = handle_probe_result(std::move(w), {*old, false});
+        w = remove_ended_server(std::move(w), *old);
     auto const [known, inserted] = w.state_->local_servers_.try_emplace(a.id_);
     local_server& server = known->second;
     bool const changed = inserted || server.announcement_.state_ != a.state_ ||
