Destroy closed connections also while the loop is busy

Connections that end are destroyed "in the next round of the loop", by an idle source of GLib. Idle sources have a lower priority than connections: while any connection has something to read, none is dispatched, and each closed connection keeps the answer that it held.

Test, on the code before: correctness/closed_collected CHECK( done_in_round <= 2 ) with expansion: 100 <= 2

The source now has the priority of a connection; it still runs in a later round, after the handler that asked for it has returned. Ruled out: a higher priority, which would let the steps of a shutdown hold connections up.

--- a/packages/loop/jackdawhall/loop/later.hpp
+++ b/packages/loop/jackdawhall/loop/later.hpp
@@ -19,6 +19,9 @@
         if (source_)
             return;
         source_.reset(g_idle_source_new());
+        // As urgent as a connection: an idle source waits for as long as any
+        // connection has something to read.
+        g_source_set_priority(source_.get(), G_PRIORITY_DEFAULT);
         g_source_set_callback(
             source_.get(),
             [](gpointer data) -> gboolean
