Give up a forward only for an answer, not for a refusal elsewhere

Callers saw a 503 while a server was at work on their request: a repeatable call whose gate sent no report for 400 ms, or was out of reach for one inquiry, was cancelled there and tried elsewhere, and the refusal of that other try was the answer. With no other server the call was cancelled and sent to the same silent gate again. After a SIGTERM this is a request broken off at which its server was at work.

Cause: a call had one open forward, so that trying elsewhere meant to end the first one before the second had an answer.

The first answer wins and the other try is cancelled. A refusal, a 503 by which a server sheds, or a loss of the other try makes the call wait for the first again, whose gate is asked at once; "not received" and "unknown" of the first leave the other alone. Charged as before: one loss that is retried, the budgets of the route and the attempts. Calls that can't be repeated have no second try, as before. The silent gate is still counted as a failure of its server at the time of the try.

Ruled out: waiting with the first alone until a report or the deadline (a frozen gate would cost every call its time limit); asking the other gate for room first (one more message and round trip, and its answer may be old).

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -88,6 +88,17 @@
     return std::clamp(share, min_warm_up_share, 1.0);
 }
 
+// While an earlier forward is open, its gate, which does not report, is no
+// place for another try.
+candidates without_silent_gate(entry_call const& c, candidates all)
+{
+    if (!c.earlier_forward_)
+        return all;
+    return select_if(
+        all, [&](backend_server const* server)
+        { return server->host_ != c.earlier_forward_->server_.host_; });
+}
+
 // Returns the load with one more call, as a share of the server's capacity.
 // Above 1 the server queues calls.
 double load(server_stats const& e, backend_server const& server, instant now)
@@ -189,6 +200,9 @@
     candidates all = not_draining(s, c.service_);
     if (all.empty())
         return wait_for_server(std::move(p));
+    all = without_silent_gate(c, std::move(all));
+    if (all.empty())
+        return refuse(std::move(p), refusal_reason::no_server);
     all = without_ejected(s, std::move(all), now);
     all = select_if(
         all, [&](backend_server const* server)
--- a/packages/calls/jackdawhall/calls/forward_answer.cpp
+++ b/packages/calls/jackdawhall/calls/forward_answer.cpp
@@ -59,19 +59,28 @@
     std::optional<retry_reason> const again =
         decide_retry(s, c, a.verdict_, a.shed_, w.at_.now_);
     if (!again)
-        return finish_call(std::move(w), std::move(c), std::move(a.verdict_));
-    ++s.counters_.retries_[static_cast<std::size_t>(*again)];
-    log_retry(w, c, *again);
-    c = charge_retry(s, std::move(c), a.verdict_);
-    c.lost_tries_ += std::holds_alternative<may_have_run>(a.verdict_) ? 1 : 0;
-    c.next_filter_ = retry_filter_index;
-    return run_filters(std::move(w), std::move(c));
+        return finish_or_wait_again(std::move(w), std::move(c), std::move(a));
+    return retry_call(std::move(w), std::move(c), *again, a.verdict_);
 }
 
 } // namespace
 
+working_state
+retry_call(working_state w, entry_call c, retry_reason why, verdict const& v)
+{
+    state& s = *w.state_;
+    ++s.counters_.retries_[static_cast<std::size_t>(why)];
+    log_retry(w, c, why);
+    c = charge_retry(s, std::move(c), v);
+    c.lost_tries_ += std::holds_alternative<may_have_run>(v) ? 1 : 0;
+    c.next_filter_ = retry_filter_index;
+    return run_filters(std::move(w), std::move(c));
+}
+
 working_state handle_forward_response(working_state w, forward_response a)
 {
+    if (is_earlier(*w.state_, a.number_))
+        return end_earlier(std::move(w), std::move(a));
     std::optional<ended_forward> ended = take_forward(*w.state_, a.number_);
     if (!ended)
         return w;
@@ -89,14 +98,16 @@
 
 working_state withdraw_forward(working_state w, call_number forward)
 {
+    forward_response a;
+    a.number_ = forward;
+    a.verdict_ = not_run{refusal_reason::connect_failed};
+    if (is_earlier(*w.state_, forward))
+        return end_earlier(std::move(w), std::move(a));
     std::optional<ended_forward> ended = take_forward(*w.state_, forward);
     if (!ended)
         return w;
     server_stats& e = w.state_->server_stats_[key_of(ended->forward_.server_)];
     e.in_flight_ -= e.in_flight_ > 0 ? 1 : 0;
-    forward_response a;
-    a.number_ = forward;
-    a.verdict_ = not_run{refusal_reason::connect_failed};
     a.retries_unused_ = ended->forward_.delegated_retries_;
     return retry_or_finish(std::move(w), std::move(*ended), std::move(a));
 }
--- a/packages/calls/jackdawhall/calls/inquire_forwards.cpp
+++ b/packages/calls/jackdawhall/calls/inquire_forwards.cpp
@@ -18,18 +18,43 @@
 // A gate that can't be reached for this long has ended.
 constexpr duration gate_return_time = std::chrono::seconds(1);
 
-entry_call* find_call(state& s, call_number forward)
+// The open forward of a call by its number.
+active_forward& open_forward(entry_call& c, call_number forward)
+{
+    bool const earlier =
+        c.earlier_forward_ && c.earlier_forward_->number_ == forward;
+    return earlier ? *c.earlier_forward_ : *c.forward_;
+}
+
+// A call that waits for a forward, and that forward in it.
+struct awaited_forward
+{
+    entry_call* call_ = nullptr;
+    active_forward* forward_ = nullptr;
+
+    // Whether the call waits for no other forward.
+    bool is_current() const
+    {
+        return call_->forward_ && &*call_->forward_ == forward_;
+    }
+};
+
+std::optional<awaited_forward> find_forward(state& s, call_number forward)
 {
     auto const known = s.call_of_forward_.find(forward);
-    return known == s.call_of_forward_.end() ? nullptr
-                                             : &s.calls_.at(known->second);
+    if (known == s.call_of_forward_.end())
+        return std::nullopt;
+    entry_call& c = s.calls_.at(known->second);
+    return awaited_forward{&c, &open_forward(c, forward)};
 }
 
-// The call that waits for a forward to the gate on `host`, or nullptr.
-entry_call* find_call_at(state& s, host_name const& host, call_number forward)
+// The same for a forward to the gate on `host`.
+std::optional<awaited_forward>
+find_forward_at(state& s, host_name const& host, call_number forward)
 {
-    entry_call* c = find_call(s, forward);
-    return c && c->forward_->server_.host_ == host ? c : nullptr;
+    std::optional<awaited_forward> const found = find_forward(s, forward);
+    bool const there = found && found->forward_->server_.host_ == host;
+    return there ? found : std::nullopt;
 }
 
 void set_wake_up(state& s, entry_call& c, std::optional<instant> at)
@@ -39,20 +64,26 @@
     schedule_timer(s, c);
 }
 
-void await_report(state& s, entry_call& c, instant now)
+// The gate of an earlier forward is asked again once the call waits for that
+// one alone.
+void await_report(state& s, awaited_forward const& f, instant now)
 {
-    std::optional<instant>& since = c.forward_->unreported_since_;
+    std::optional<instant>& since = f.forward_->unreported_since_;
     since = since.value_or(now);
+    if (!f.is_current())
+        return;
     instant const overdue_at = *since + report_timeout;
     instant const again_at = now + inquiry_interval;
     set_wake_up(
-        s, c, now < overdue_at ? std::min(again_at, overdue_at) : again_at);
+        s, *f.call_,
+        now < overdue_at ? std::min(again_at, overdue_at) : again_at);
 }
 
-void take_report(state& s, entry_call& c)
+void take_report(state& s, awaited_forward const& f)
 {
-    c.forward_->unreported_since_.reset();
-    set_wake_up(s, c, std::nullopt);
+    f.forward_->unreported_since_.reset();
+    if (f.is_current())
+        set_wake_up(s, *f.call_, std::nullopt);
 }
 
 // Whether the call would be retried if its forward were lost.
@@ -68,14 +99,15 @@
 
 // The forwards to a host that have no answer, in the order of their numbers.
 std::vector<active_forward>
-unanswered_forwards(state const& s, host_name const& host, instant now)
+unanswered_forwards(state& s, host_name const& host, instant now)
 {
     std::vector<active_forward> found;
     for (auto const& [number, call] : s.call_of_forward_)
     {
-        entry_call const& c = s.calls_.at(call);
-        if (c.forward_->server_.host_ == host && now < c.deadline_)
-            found.push_back(*c.forward_);
+        entry_call& c = s.calls_.at(call);
+        active_forward const& f = open_forward(c, number);
+        if (f.server_.host_ == host && now < c.deadline_)
+            found.push_back(f);
     }
     return found;
 }
@@ -99,7 +131,8 @@
         if (f.server_.incarnation_ != incarnation)
             continue;
         asked.forwards_.push_back(f.number_);
-        await_report(*w.state_, *find_call(*w.state_, f.number_), w.at_.now_);
+        await_report(
+            *w.state_, *find_forward(*w.state_, f.number_), w.at_.now_);
     }
     log_inquiry(w, host, asked);
     send_message(w, host, std::move(asked));
@@ -120,46 +153,50 @@
 }
 
 void log_outcome(
-    working_state& w, entry_call const& c, std::string_view outcome)
+    working_state& w, awaited_forward const& awaited, std::string_view outcome)
 {
+    entry_call const& c = *awaited.call_;
+    active_forward const& f = *awaited.forward_;
     w.effects_.push_back(log_message{
         "outcome of a forward after its link ended",
         {{"request", c.context_.root_},
-         {"gate", c.forward_->server_.host_.str()},
-         {"server", c.forward_->server_.id_},
+         {"gate", f.server_.host_.str()},
+         {"server", f.server_.id_},
          {"outcome", std::string(outcome)},
-         {"age_ms", milliseconds_text(w.at_.now_ - c.forward_->created_at_)},
+         {"age_ms", milliseconds_text(w.at_.now_ - f.created_at_)},
          {"left_ms", milliseconds_text(c.deadline_ - w.at_.now_)}}});
 }
 
 working_state handle_reported(
     working_state w, host_name const& gate, reported_forward const& f)
 {
-    entry_call* c = find_call_at(*w.state_, gate, f.number_);
-    bool const awaited = c && w.at_.now_ < c->deadline_;
+    std::optional<awaited_forward> const found =
+        find_forward_at(*w.state_, gate, f.number_);
+    bool const awaited = found && w.at_.now_ < found->call_->deadline_;
     switch (f.status_)
     {
     case forward_status::in_progress:
         if (awaited)
-            take_report(*w.state_, *c);
+            take_report(*w.state_, *found);
         else
             send_message(w, gate, cancel_forward{f.number_});
         return w;
     case forward_status::answered:
         if (awaited)
             send_inquiry(
-                w, gate, c->forward_->server_.incarnation_, {*c->forward_});
+                w, gate, found->forward_->server_.incarnation_,
+                {*found->forward_});
         return w;
     case forward_status::not_received:
         // Past the deadline the gate may have forgotten its answer.
         if (!awaited)
             return w;
-        log_outcome(w, *c, "not received");
+        log_outcome(w, *found, "not received");
         return withdraw_forward(std::move(w), f.number_);
     case forward_status::unknown:
         if (!awaited)
             return w;
-        log_outcome(w, *c, "unknown");
+        log_outcome(w, *found, "unknown");
         return lose_forward(std::move(w), f.number_);
     }
     return w;
@@ -194,22 +231,26 @@
     instant const now = w.at_.now_;
     for (call_number const number : asked.forwards_)
     {
-        entry_call const* c = find_call_at(*w.state_, gate, number);
-        if (!c || !c->forward_->unreported_since_)
+        std::optional<awaited_forward> const found =
+            find_forward_at(*w.state_, gate, number);
+        if (!found || !found->forward_->unreported_since_)
             continue;
         bool const ended =
-            now - *c->forward_->unreported_since_ >= gate_return_time;
-        if (!ended && !can_retry(*w.state_, *c, now))
+            now - *found->forward_->unreported_since_ >= gate_return_time;
+        bool const elsewhere =
+            found->is_current() && can_retry(*w.state_, *found->call_, now);
+        if (!ended && !elsewhere)
             continue; // asked again at its wake-up
-        log_outcome(w, *c, "gate out of reach");
-        w = lose_forward(std::move(w), number);
+        log_outcome(w, *found, "gate out of reach");
+        w = ended ? lose_forward(std::move(w), number)
+                  : try_elsewhere(std::move(w), found->call_->number_);
     }
     return w;
 }
 
 working_state repeat_inquiry(working_state w, call_number call)
 {
-    entry_call const& c = w.state_->calls_.at(call);
+    entry_call& c = w.state_->calls_.at(call);
     active_forward const f = *c.forward_;
     instant const now = w.at_.now_;
     bool const overdue = now - *f.unreported_since_ >= report_timeout;
@@ -218,9 +259,8 @@
         send_inquiry(w, f.server_.host_, f.server_.incarnation_, {f});
         return w;
     }
-    log_outcome(w, c, "no report");
-    cancel_at_gate(w, f.server_.host_, f.number_);
-    return lose_forward(std::move(w), f.number_);
+    log_outcome(w, {&c, &*c.forward_}, "no report");
+    return try_elsewhere(std::move(w), call);
 }
 
 } // namespace jackdawhall::calls
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -89,6 +89,7 @@
         cancel_timer(s, late);
         s.calls_.erase(number);
         verdict const v = deadline_verdict(late);
+        cancel_earlier(w, late);
         if (late.forward_)
         {
             s.call_of_forward_.erase(late.forward_->number_);
@@ -126,6 +127,8 @@
     cancel_timer(s, c);
     s.calls_.erase(held);
     verdict v = not_run{refusal_reason::cancelled};
+    if (c.earlier_forward_)
+        v = may_have_run{indeterminate_reason::cancelled};
     if (c.forward_)
     {
         v = may_have_run{indeterminate_reason::cancelled};
@@ -134,6 +137,7 @@
         cancel_at_gate(w, c.forward_->server_.host_, c.forward_->number_);
         c.forward_.reset();
     }
+    cancel_earlier(w, c);
     log_caller_disconnected(w, c);
     return finish_call(std::move(w), std::move(c), std::move(v));
 }
@@ -256,8 +260,12 @@
     }
     w = {std::move(p.state_), std::move(p.effects_), p.at_};
     if (finished* end = std::get_if<finished>(&p.progress_))
-        return finish_call(
-            std::move(w), std::move(p.call_), std::move(end->verdict_));
+    {
+        forward_response a;
+        a.verdict_ = std::move(end->verdict_);
+        return finish_or_wait_again(
+            std::move(w), std::move(p.call_), std::move(a));
+    }
     if (p.call_.number_ == 0)
         return w; // joined another call
     schedule_timer(*w.state_, p.call_);
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -97,17 +97,36 @@
 working_state lose_forward(working_state w, call_number forward);
 // Ends a forward that its gate will never run, through no fault of the server.
 working_state withdraw_forward(working_state w, call_number forward);
+// Retries a call, whose last forward ended in `v` or stays open: charges the
+// retry and chooses a server.
+working_state
+retry_call(working_state w, entry_call c, retry_reason why, verdict const& v);
+// Tries a call elsewhere whose gate does not report. Its forward stays open.
+working_state try_elsewhere(working_state w, call_number call);
+// Ends a call that is no longer in state::calls_ and can't be retried. If an
+// earlier forward of it is open, anything but the answer of a server that did
+// not shed it makes the call wait for that forward again.
+working_state
+finish_or_wait_again(working_state w, entry_call c, forward_response a);
+// Whether a forward is the earlier one of a call that is tried elsewhere.
+bool is_earlier(state const& s, call_number forward);
+// Ends such a forward: its answer finishes the call, and without one the call
+// goes on with its other try.
+working_state end_earlier(working_state w, forward_response a);
+// Cancels the earlier forward of a call, if one is open.
+void cancel_earlier(working_state& w, entry_call& c);
 // Asks a gate, after a link with it ended, what became of the forwards that it
 // has not answered.
 working_state inquire_after_link_loss(working_state w, link_lost const& l);
 working_state handle_forward_report(
     working_state w, host_name const& gate, forward_report const& r);
-// Ends the forwards of an inquiry whose gate can't be reached, if their calls
-// can be retried or the gate has been out of reach for long.
+// Tries the calls of an inquiry elsewhere whose gate can't be reached, if they
+// can be retried, and ends the forwards to a gate that has been out of reach
+// for long.
 working_state handle_inquiry_not_sent(
     working_state w, host_name const& gate, forward_inquiry const& asked);
-// Asks the gate of a call's forward again, or ends the forward if the call can
-// be retried and the gate has not reported in time.
+// Asks the gate of a call's forward again, or tries the call elsewhere if it
+// can be retried and the gate has not reported in time.
 working_state repeat_inquiry(working_state w, call_number call);
 // Cancels a forward that is not waited for any more.
 void cancel_at_gate(
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -134,6 +134,9 @@
     std::vector<server_key> tried_servers_;
     std::optional<held_claim> claim_;
     std::optional<active_forward> forward_;
+    // A forward whose gate did not report, open while the call is tried
+    // elsewhere. Only of a call that may be repeated.
+    std::optional<active_forward> earlier_forward_;
     std::optional<open_outcome_request> outcome_request_;
     // Next check of a waiting call. Of a call that is forwarded: when its gate
     // is asked again what became of it.
--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -86,6 +86,8 @@
         s.calls_.erase(s.calls_.begin());
         if (c.forward_)
             s.call_of_forward_.erase(c.forward_->number_);
+        if (c.earlier_forward_)
+            s.call_of_forward_.erase(c.earlier_forward_->number_);
         log_given_up(w, c);
         verdict v = verdict_when_given_up(c);
         w = finish_call(std::move(w), std::move(c), std::move(v));
