Use no silent connections to a sound backend server again

What callers saw: when the kept connections to a backend server went silent, each of them cost a call of its own, though new connections worked; a repeatable call on a connection whose bytes nobody acknowledged waited for its whole time, or for the 3 s after which the kernel gives up.

Cause: docs/DESIGN.md said that new runs get new connections then; the function that closed the kept ones (backend_client::forget) was called by nobody since the client reads HTTP itself. Nothing looked at what the kernel knows of a request.

Ruled out: saying "not run" of a request that was not acknowledged (the bytes may have arrived, and the acknowledgement be lost), and ending a run that may not be repeated sooner than the kernel does (the same).

Why it works: a run that got nothing closes the idle connections over which nothing came since it was sent; sound ones in use were heard from. A request of which the kernel has nothing acknowledged for 1 s (SIOCOUTQ) ends as lost where it may be repeated, so that the calls package can try again in time.

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -153,6 +153,7 @@
     account_name account_; // empty: the route needs no key
     service_name caller_;  // empty: unknown
     std::string root_;     // request id of the root call
+    bool repeatable_ = false;
     auto operator<=>(run_on_backend const&) const = default;
 };
 // Closes the connection of a run; its run_finished still follows.
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -89,7 +89,8 @@
     w.effects_.push_back(run_on_backend{
         number, run.server_id_, server.announcement_.address_, std::move(sent),
         run.context_.repeatable_ ? left : left + outcome_grace_period,
-        run.context_.account_, run.context_.caller_, run.context_.root_});
+        run.context_.account_, run.context_.caller_, run.context_.root_,
+        run.context_.repeatable_});
 }
 
 std::size_t max_queue_length(local_server const& server)
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -348,10 +348,12 @@
 void daemon::run_on_backend(calls::run_on_backend const& r)
 {
     if (!settings_.infrastructure_)
-        return backends_->run(r.run_, r.address_, r.request_, r.timeout_);
+        return backends_->run(
+            r.run_, r.address_, r.request_, r.timeout_,
+            {{}, {}, false, r.repeatable_});
     backends_->run(
         r.run_, r.address_, platform::to_backend(r), r.timeout_,
-        {platform::attempt_header(), r.root_, true});
+        {platform::attempt_header(), r.root_, true, r.repeatable_});
 }
 
 void daemon::transmit(outgoing out)
--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <optional>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <jackdawhall/loop/backend_answer.hpp>
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/event_loop.hpp>
@@ -21,6 +24,9 @@
 // How long a connection is kept whose server names no time.
 constexpr duration default_keep = std::chrono::seconds(4);
 constexpr std::uint32_t max_answer_header_bytes = 64 << 10;
+// A kept connection of which the server has acknowledged nothing for this long
+// is dead.
+constexpr duration unacknowledged_limit = std::chrono::seconds(1);
 // A connection with more requests than this to remember is not kept.
 constexpr std::size_t max_failed_kept = 64;
 
@@ -51,6 +57,9 @@
     // Hashes of the ids of requests that were answered without success here.
     std::vector<std::size_t> failed_;
     instant kept_until_;
+    std::size_t sent_bytes_ = 0; // of the request
+    instant sent_at_;
+    instant heard_at_; // the last bytes of the server
     timer_ptr timer_;
     source_ptr connecting_;
     int connecting_fd_ = -1;
@@ -186,9 +195,14 @@
 
 void backend_client::send(connection& c)
 {
-    set_timer_due(c.timer_, c.kept_until_);
+    c.sent_at_ = read_clocks().now_;
+    instant const check_at = c.sent_at_ + unacknowledged_limit;
+    set_timer_due(
+        c.timer_,
+        c.first_run_ ? c.kept_until_ : std::min(c.kept_until_, check_at));
     begin_answer(c);
     c.sent_ = true;
+    c.sent_bytes_ = c.text_.size();
     c.stream_->write(std::exchange(c.text_, {}));
 }
 
@@ -196,6 +210,7 @@
 {
     if (!c.run_)
         return drop(c); // bytes on an idle connection belong to no request
+    c.heard_at_ = read_clocks().now_;
     std::string& in = c.stream_->input();
     do
     {
@@ -314,7 +329,27 @@
         return drop(c);
     if (!c.sent_)
         return finish(c, backend_not_connected{});
-    finish_broken(c, indeterminate_reason::deadline_passed);
+    bool const late = read_clocks().now_ >= c.kept_until_;
+    bool const silent = c.heard_at_ < c.sent_at_;
+    bool const dead = silent && is_unacknowledged(c);
+    if (dead || (silent && late))
+        forget_unheard(c.to_, c.sent_at_);
+    if (late)
+        return finish_broken(c, indeterminate_reason::deadline_passed);
+    if (dead && c.rules_.may_be_repeated_)
+        return finish_broken(c, indeterminate_reason::connection_lost);
+    set_timer_due(c.timer_, c.kept_until_);
+}
+
+// The server's kernel has taken nothing of the request.
+bool backend_client::is_unacknowledged(connection const& c)
+{
+    int in_kernel = 0;
+    bool const known =
+        ioctl(c.stream_->descriptor(), SIOCOUTQ, &in_kernel) == 0;
+    std::size_t const waiting =
+        c.stream_->unwritten() + static_cast<std::size_t>(in_kernel);
+    return known && waiting >= c.sent_bytes_;
 }
 
 void backend_client::cancel(std::uint64_t run)
@@ -359,11 +394,16 @@
     collect_.ask();
 }
 
-void backend_client::forget(endpoint const& to)
+// What made one connection silent may have made others so: those that nothing
+// came over since are not used again.
+void backend_client::forget_unheard(endpoint const& to, instant since)
 {
-    std::vector<connection*> const kept = std::exchange(kept_[to], {});
+    std::vector<connection*> const kept = kept_[to];
     for (connection* c : kept)
-        drop(*c);
+    {
+        if (c->heard_at_ < since)
+            drop(*c);
+    }
 }
 
 void backend_client::collect()
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -61,6 +61,9 @@
     std::string echoed_value_;
     // An answer without a length is whole when its connection ends in order.
     bool may_lack_length_ = false;
+    // The run ends as lost once its kept connection is found dead, so that it
+    // can be repeated while there is time; others wait for the kernel.
+    bool may_be_repeated_ = false;
     auto operator<=>(answer_rules const&) const = default;
 };
 
@@ -83,9 +86,6 @@
     // Connects to a server and closes again; probed_ follows.
     void probe(std::string const& server_id, endpoint const& to);
 
-    // Closes the kept connections to an address.
-    void forget(endpoint const& to);
-
 private:
     struct connection;
     struct probe_in_progress;
@@ -104,6 +104,8 @@
     void take_end(connection& c, bool clean);
     void keep(connection& c, duration longest);
     void time_out(connection& c);
+    static bool is_unacknowledged(connection const& c);
+    void forget_unheard(endpoint const& to, instant since);
     void finish(connection& c, backend_result result);
     void drop(connection& c);
     void end_probe(probe_in_progress& p, bool alive);
--- a/packages/loop/jackdawhall/loop/byte_stream.hpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -71,6 +71,7 @@
     // Closes at once; no handler is called any more.
     void close();
     bool is_open() const { return fd_ >= 0; }
+    int descriptor() const { return fd_; }
 
     // Says whether the peer sent or ended something that was not read yet.
     bool has_unread() const;
--- a/test/support/silent_relay.hpp
+++ b/test/support/silent_relay.hpp
@@ -1,8 +1,10 @@
 // Relays TCP connections to one address on a thread of its own. From
 // fall_silent() on, the connections that are open carry nothing more, and new
-// ones work.
+// ones work. From drop_packets() on, what is sent on those that are open is not
+// even acknowledged.
 #pragma once
 
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -48,6 +50,11 @@
     }
 
     void fall_silent() { silence_ = true; }
+    void drop_packets()
+    {
+        drops_ = true;
+        silence_ = true;
+    }
     int connections() const { return connections_; }
 
 private:
@@ -73,6 +80,24 @@
         ++connections_;
     }
 
+    // The kernel drops all packets that come to this end.
+    static void deafen(int fd)
+    {
+        sock_filter take_nothing = BPF_STMT(BPF_RET | BPF_K, 0);
+        sock_fprog const program{1, &take_nothing};
+        ::setsockopt(
+            fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    }
+
+    void silence(pair& p) const
+    {
+        p.silent_ = true;
+        if (!drops_)
+            return;
+        deafen(p.caller_);
+        deafen(p.target_);
+    }
+
     static void pass(int from, int to)
     {
         char bytes[4096];
@@ -90,10 +115,11 @@
             pollfd wait{listener_, POLLIN, 0};
             if (::poll(&wait, 1, 2) > 0)
                 accept_one();
-            bool const silence = silence_.exchange(false);
+            bool const asked = silence_.exchange(false);
             for (pair& p : pairs_)
             {
-                p.silent_ = p.silent_ || silence;
+                if (asked)
+                    silence(p);
                 if (p.silent_)
                     continue;
                 pass(p.caller_, p.target_);
@@ -107,6 +133,7 @@
     std::vector<pair> pairs_;
     std::atomic<bool> ended_{false};
     std::atomic<bool> silence_{false};
+    std::atomic<bool> drops_{false};
     std::atomic<int> connections_{0};
     std::thread thread_;
 };
