Bound the answers that the operators' client takes

An operator who named a wrong or faulty host saw jackdawhallctl hang and grow without end: the answer was read whole, whatever its size, and the time limit was libsoup's, which holds for each read and starts again with every byte.

Heads were ruled out: libsoup bounds these.

--- a/packages/loop/jackdawhall/loop/http_fetch.hpp
+++ b/packages/loop/jackdawhall/loop/http_fetch.hpp
@@ -6,7 +6,11 @@
 namespace jackdawhall::loop
 {
 
-// Fails with user_error if no whole answer came within `timeout`.
+// The largest body of an answer that is taken.
+inline constexpr std::size_t max_fetched_bytes = 64 << 20;
+
+// Fails with user_error if no whole answer came within `timeout`, or if its
+// body is larger than max_fetched_bytes.
 leaf::result<answer>
 fetch(endpoint const& to, request const& r, std::chrono::seconds timeout);
 
