One ledger of bytes held for others; backend servers' answers are its first

The bound of 32 MB counted the sizes of bodies, not what is allocated, and let the largest single answer yield: with one faulty server that was the sound server's answer.

Who yields is the party with most together, in it the largest holder, the oldest of equal ones. loop/memory_budget keeps it on the loop and tells holders to yield in the next round, so that none is closed while it is at work. A run that yields ends as may-have-run answer_too_large, as before; one whose answer had not begun as cancelled, and one that was not sent as not run.

Streams free a buffer once it is empty, and write a text without a copy.

--- a/packages/loop/jackdawhall/loop.hpp
+++ b/packages/loop/jackdawhall/loop.hpp
@@ -9,4 +9,5 @@
 #include <jackdawhall/loop/http_fetch.hpp>
 #include <jackdawhall/loop/http_server.hpp>
 #include <jackdawhall/loop/line_output.hpp>
+#include <jackdawhall/loop/memory_budget.hpp>
 #include <jackdawhall/loop/peer_links.hpp>
--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -49,7 +49,6 @@
     answer_rules rules_;
     std::optional<response_parser> parser_;
     std::size_t taken_ = 0;       // bytes of the answer in progress
-    std::size_t held_ = 0;        // those of them that are kept
     std::size_t other_bytes_ = 0; // of answers that were passed over
     std::uint32_t other_answers_ = 0;
     bool first_run_ = true;     // of this connection
@@ -64,6 +63,7 @@
     source_ptr connecting_;
     int connecting_fd_ = -1;
     std::unique_ptr<byte_stream> stream_;
+    std::unique_ptr<budget_share> share_;
 };
 
 struct backend_client::probe_in_progress
@@ -75,8 +75,8 @@
     timer_ptr timer_;
 };
 
-backend_client::backend_client(backend_handlers handlers)
-    : handlers_(std::move(handlers))
+backend_client::backend_client(backend_handlers handlers, budget_ptr budget)
+    : handlers_(std::move(handlers)), budget_(std::move(budget))
 {
 }
 
@@ -112,6 +112,7 @@
     set_timer_due(c.timer_, now + bound);
     if (c.connected_)
         send(c);
+    count(c);
 }
 
 // Says whether a copy of an earlier refusal could pass for the answer to the
@@ -148,6 +149,8 @@
     connections_.emplace(&c, std::move(made));
     c.owner_ = this;
     c.to_ = to;
+    c.share_ =
+        std::make_unique<budget_share>(budget_, [&c] { c.owner_->give_up(c); });
     c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
     c.connecting_fd_ = begin_connect(to);
     if (c.connecting_fd_ < 0)
@@ -174,8 +177,9 @@
                         ready.owner_->take_end(
                             ready, how == stream_end::finished);
                     },
-                    {}});
+                    [&ready] { count(ready); }});
             ready.owner_->send(ready);
+            count(ready);
             return G_SOURCE_REMOVE;
         },
         &c);
@@ -223,7 +227,7 @@
         if (take_answer(c))
             return;
     } while (!in.empty());
-    hold(c);
+    count(c);
 }
 
 // Returns false if the answer to the run must still follow.
@@ -257,7 +261,7 @@
             .value_or(default_keep);
     std::uint64_t const run = *std::exchange(c.run_, std::nullopt);
     runs_.erase(run);
-    release(c);
+    c.share_->clear();
     if (reusable && longest > keep_margin)
         keep(c, longest - keep_margin);
     else
@@ -277,23 +281,34 @@
     begin_answer(c);
 }
 
-void backend_client::hold(connection& c)
+// Memory that the run of a connection takes.
+std::size_t backend_client::allocated(connection const& c)
 {
-    release(c);
-    c.held_ = c.parser_->get().body().size() + c.stream_->input().size();
-    held_ += c.held_;
-    if (held_ <= max_held_bytes)
-        return;
-    auto const largest = std::max_element(
-        runs_.begin(), runs_.end(),
-        [](auto const& a, auto const& b)
-        { return a.second->held_ < b.second->held_; });
-    finish_broken(*largest->second, indeterminate_reason::answer_too_large);
+    std::size_t bytes = c.text_.capacity();
+    if (c.stream_)
+        bytes += c.stream_->allocated();
+    if (c.parser_)
+        bytes += c.parser_->get().body().capacity() +
+                 std::min<std::size_t>(c.taken_, max_answer_header_bytes);
+    return bytes;
+}
+
+void backend_client::count(connection& c)
+{
+    if (c.share_ && c.run_)
+        c.share_->set(backend_exchange{c.to_}, allocated(c));
 }
 
-void backend_client::release(connection& c)
+// Ends the run of a connection, which holds too much.
+void backend_client::give_up(connection& c)
 {
-    held_ -= std::exchange(c.held_, 0);
+    if (!c.run_)
+        return drop(c);
+    if (!c.sent_)
+        return finish(c, backend_not_connected{false});
+    finish_broken(
+        c, c.parser_->got_some() ? indeterminate_reason::answer_too_large
+                                 : indeterminate_reason::cancelled);
 }
 
 void backend_client::take_end(connection& c, bool clean)
@@ -383,7 +398,7 @@
     if (known == connections_.end())
         return;
     std::erase(kept_[c.to_], &c);
-    release(c);
+    c.share_.reset();
     c.connecting_.reset();
     c.timer_.reset();
     close_fd(std::exchange(c.connecting_fd_, -1));
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include <jackdawhall/loop/later.hpp>
+#include <jackdawhall/loop/memory_budget.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -47,7 +48,7 @@
 };
 
 inline constexpr std::size_t max_answer_bytes = 8 << 20;
-// Of all answers in progress; beyond it the largest is given up.
+// Of all answers in progress, for a client without a budget of its process.
 inline constexpr std::size_t max_held_bytes = 32 << 20;
 // Answers to other requests, and informational ones, before a run's own.
 inline constexpr std::uint32_t max_other_answers = 16;
@@ -70,7 +71,9 @@
 class backend_client
 {
 public:
-    explicit backend_client(backend_handlers handlers);
+    explicit backend_client(
+        backend_handlers handlers,
+        budget_ptr budget = std::make_shared<memory_budget>(max_held_bytes));
     ~backend_client();
     backend_client(backend_client const&) = delete;
     backend_client& operator=(backend_client const&) = delete;
@@ -98,8 +101,9 @@
     void take_bytes(connection& c);
     bool take_answer(connection& c);
     void pass_over(connection& c);
-    void hold(connection& c);
-    void release(connection& c);
+    static std::size_t allocated(connection const& c);
+    static void count(connection& c);
+    void give_up(connection& c);
     void finish_broken(connection& c, indeterminate_reason reason);
     void take_end(connection& c, bool clean);
     void keep(connection& c, duration longest);
@@ -112,9 +116,9 @@
     void collect();
 
     backend_handlers handlers_;
+    budget_ptr budget_;
     std::map<connection*, std::unique_ptr<connection>> connections_;
     std::map<std::uint64_t, connection*> runs_;
-    std::size_t held_ = 0; // bytes of all answers in progress
     // Idle connections; the one used last is at the end.
     std::map<endpoint, std::vector<connection*>> kept_;
     std::map<probe_in_progress*, std::unique_ptr<probe_in_progress>> probes_;
--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -18,6 +18,15 @@
 
 constexpr std::size_t read_bytes = 16 << 10;
 constexpr int listen_backlog = 1024;
+// Memory of this size is kept for the next bytes of a stream; more is freed as
+// soon as it is empty.
+constexpr std::size_t kept_bytes = 4 << 10;
+
+void free_if_empty(std::string& bytes)
+{
+    if (bytes.empty() && bytes.capacity() > kept_bytes)
+        std::string().swap(bytes);
+}
 
 sockaddr_in to_socket_address(endpoint const& e)
 {
@@ -153,14 +162,18 @@
         return end(n == 0 ? stream_end::finished : stream_end::broken);
     in_.append(chunk.data(), static_cast<std::size_t>(n));
     handlers_.received_();
+    free_if_empty(in_);
 }
 
-void byte_stream::write(std::string const& bytes)
+void byte_stream::write(std::string bytes)
 {
-    bool const idle = out_.empty();
-    out_ += bytes;
-    if (idle)
-        flush();
+    if (!out_.empty())
+    {
+        out_ += bytes;
+        return;
+    }
+    out_ = std::move(bytes);
+    flush();
 }
 
 gboolean byte_stream::writable(gint, GIOCondition, gpointer self)
@@ -171,20 +184,21 @@
 
 void byte_stream::flush()
 {
-    std::size_t done = 0;
-    while (done < out_.size())
+    while (written_ < out_.size())
     {
-        ssize_t const n =
-            ::send(fd_, out_.data() + done, out_.size() - done, MSG_NOSIGNAL);
+        ssize_t const n = ::send(
+            fd_, out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOTCONN))
             break;
         if (n < 0)
             return end(stream_end::broken);
-        done += static_cast<std::size_t>(n);
+        written_ += static_cast<std::size_t>(n);
     }
-    out_.erase(0, done);
-    if (out_.empty())
+    if (written_ == out_.size())
     {
+        out_.clear();
+        written_ = 0;
+        free_if_empty(out_);
         writable_.reset();
         if (handlers_.written_)
             handlers_.written_();
--- a/packages/loop/jackdawhall/loop/byte_stream.hpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -59,8 +59,11 @@
     // Bytes received and not yet taken.
     std::string& input() { return in_; }
 
-    void write(std::string const& bytes);
-    std::size_t unwritten() const { return out_.size(); }
+    void write(std::string bytes);
+    std::size_t unwritten() const { return out_.size() - written_; }
+
+    // Bytes of memory that input and output take.
+    std::size_t allocated() const { return in_.capacity() + out_.capacity(); }
 
     // Stops and starts taking bytes in, so that a peer cannot fill memory.
     void read_more(bool wanted);
@@ -87,6 +90,7 @@
     stream_handlers handlers_;
     std::string in_;
     std::string out_;
+    std::size_t written_ = 0; // of out_
     source_ptr readable_;
     source_ptr writable_;
 };
