Answer callers that end their sending side before they are answered

What callers saw: a caller that half-closes its connection behind its request got no byte of an answer (three of three with a raw socket on the callers' address), and its run was cancelled where it may be repeated. A long answer that was being written when the end of the caller's side was read was cut.

Cause: the end of input was taken for the end of the caller. The stream dropped what it had still to write, the server of HTTP closed the connection, and the call node was told that the caller had left.

So the front end now reports the two apart, and the calls package decides: work that may be repeated ends and the caller is told (may-have-run or not-run, "cancelled"); what was not forwarded is refused as not run; a forwarded request that may not be repeated goes on and its answer is written. A reset or a failed write is a caller that left. The answer is the last of its connection, which is held as long as any call. Waiting for a reset before work ends was ruled out, since none comes until something is written; so was an informational answer as a question, which a relay may hold.

Both fronts for callers, the own one and that of the users' infrastructure, take their handlers from one function.

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -28,12 +28,19 @@
     request request_;
     auto operator<=>(caller_request const&) const = default;
 };
-// The caller closed its connection before it was answered.
+// The caller's connection broke before it was answered: it has left.
 struct caller_disconnected
 {
     std::uint64_t number_ = 0;
     auto operator<=>(caller_disconnected const&) const = default;
 };
+// The caller sends nothing more. Either it has left, or it waits for its
+// answer: both begin alike.
+struct caller_finished
+{
+    std::uint64_t number_ = 0;
+    auto operator<=>(caller_finished const&) const = default;
+};
 // No byte of a message was written to its peer.
 struct message_not_sent
 {
@@ -124,7 +131,7 @@
 
 using input = std::variant<
     received, timer_expired, caller_request, caller_disconnected,
-    message_not_sent, link_lost, run_finished, announcement,
+    caller_finished, message_not_sent, link_lost, run_finished, announcement,
     server_deregistered, probe_result, stop_requested, control_hosts_changed>;
 
 // --- Effects ----------------------------------------------------------------
--- a/packages/calls/jackdawhall/calls/helpers.cpp
+++ b/packages/calls/jackdawhall/calls/helpers.cpp
@@ -22,8 +22,8 @@
 
 bool possibly_ran(entry_call const& c)
 {
-    return c.forward_.has_value() || c.lost_tries_ > 0 ||
-           c.outcome_request_.has_value();
+    return c.forward_.has_value() || c.earlier_forward_.has_value() ||
+           c.lost_tries_ > 0 || c.outcome_request_.has_value();
 }
 
 host_name leader_host(state const& s)
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -51,18 +51,6 @@
     return run_filters(std::move(w), std::move(c));
 }
 
-void log_caller_disconnected(working_state& w, entry_call const& c)
-{
-    w.effects_.push_back(log_message{
-        "caller disconnected",
-        {{"request", c.context_.root_},
-         {"service", c.service_.str()},
-         {"server", c.tried_servers_.empty() ? std::string{}
-                                             : c.tried_servers_.back().second},
-         {"tries", std::to_string(c.tries_)},
-         {"took_ms", milliseconds_text(w.at_.now_ - c.created_at_)}}});
-}
-
 verdict deadline_verdict(entry_call const& c)
 {
     if (possibly_ran(c))
@@ -106,42 +94,6 @@
     return w;
 }
 
-working_state
-handle_caller_disconnected(working_state w, caller_disconnected const& left)
-{
-    state& s = *w.state_;
-    auto const known = s.call_of_caller_.find(left.number_);
-    if (known == s.call_of_caller_.end())
-        return w;
-    auto const held = s.calls_.find(known->second);
-    s.call_of_caller_.erase(known);
-    if (held == s.calls_.end())
-        return w;
-    std::erase(held->second.waiters_, waiter{http_caller{left.number_}});
-    bool const needed =
-        !held->second.waiters_.empty() ||
-        (held->second.forward_ && !held->second.context_.repeatable_);
-    if (needed)
-        return w; // others wait, or a resend may request the outcome later
-    entry_call c = std::move(held->second);
-    cancel_timer(s, c);
-    s.calls_.erase(held);
-    verdict v = not_run{refusal_reason::cancelled};
-    if (c.earlier_forward_)
-        v = may_have_run{indeterminate_reason::cancelled};
-    if (c.forward_)
-    {
-        v = may_have_run{indeterminate_reason::cancelled};
-        s.call_of_forward_.erase(c.forward_->number_);
-        --s.server_stats_[key_of(c.forward_->server_)].in_flight_;
-        cancel_at_gate(w, c.forward_->server_.host_, c.forward_->number_);
-        c.forward_.reset();
-    }
-    cancel_earlier(w, c);
-    log_caller_disconnected(w, c);
-    return finish_call(std::move(w), std::move(c), std::move(v));
-}
-
 working_state
 handle_outcome_response(working_state w, outcome_response const& r)
 {
@@ -299,6 +251,8 @@
             { w = start_call(std::move(w), std::move(r)); },
             [&](caller_disconnected& l)
             { w = handle_caller_disconnected(std::move(w), l); },
+            [&](caller_finished& f)
+            { w = handle_caller_finished(std::move(w), f); },
             [&](message_not_sent& u)
             { w = handle_message_not_sent(std::move(w), u); },
             [&](link_lost& l)
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -133,6 +133,13 @@
     working_state& w, host_name const& gate, call_number forward);
 // Gives recent cancellations again, after a link with their gate ended.
 working_state cancel_again(working_state w, host_name const& gate);
+// Ends a call that nobody waits for any more, unless its outcome must become
+// known.
+working_state
+handle_caller_disconnected(working_state w, caller_disconnected const& left);
+// The same for a caller that may still read: it is answered when its call ends.
+working_state
+handle_caller_finished(working_state w, caller_finished const& done);
 // Finishes a call that is no longer in state::calls_: settles its claim,
 // returns its unused retries, and answers all who wait for it.
 working_state finish_call(working_state w, entry_call c, verdict v);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -53,6 +53,7 @@
 struct http_caller
 {
     std::uint64_t number_ = 0;
+    bool finished_ = false; // it sends nothing more, and may have left
     auto operator<=>(http_caller const&) const = default;
 };
 struct outcome_requester
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -119,14 +119,9 @@
 {
     callers_ = std::make_unique<loop::http_server>(
         settings_.callers_, settings_.max_connections_,
-        loop::http_handlers{
+        caller_handlers(
             [this](std::uint64_t number, request r, std::string const& remote)
-            { caller_request(number, std::move(r), remote); },
-            [this](std::uint64_t number)
-            {
-                request_began_.erase(number);
-                give(calls::input{calls::caller_disconnected{number}});
-            }});
+            { caller_request(number, std::move(r), remote); }));
     BOOST_LEAF_CHECK(callers_->listen("listen.callers"));
     return {};
 }
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -90,6 +90,9 @@
     void release_held();
 
     // HTTP.
+    // Of either front end for callers.
+    loop::http_handlers
+    caller_handlers(decltype(loop::http_handlers::requested_) requested);
     void
     caller_request(std::uint64_t number, request r, std::string const& remote);
     void
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -78,6 +78,20 @@
 
 // --- Callers ----------------------------------------------------------------
 
+loop::http_handlers
+daemon::caller_handlers(decltype(loop::http_handlers::requested_) requested)
+{
+    return {
+        std::move(requested),
+        [this](std::uint64_t number)
+        {
+            request_began_.erase(number);
+            give(calls::input{calls::caller_disconnected{number}});
+        },
+        [this](std::uint64_t number)
+        { give(calls::input{calls::caller_finished{number}}); }};
+}
+
 void daemon::caller_request(
     std::uint64_t number, request r, std::string const& remote)
 {
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -51,14 +51,9 @@
     BOOST_LEAF_CHECK(readiness_->listen("infrastructure.readiness"));
     callers_ = std::make_unique<loop::http_server>(
         i.callers_, settings_.max_connections_,
-        loop::http_handlers{
+        caller_handlers(
             [this](std::uint64_t number, request r, std::string const&)
-            { infrastructure_request(number, std::move(r)); },
-            [this](std::uint64_t number)
-            {
-                request_began_.erase(number);
-                give(calls::input{calls::caller_disconnected{number}});
-            }});
+            { infrastructure_request(number, std::move(r)); }));
     BOOST_LEAF_CHECK(callers_->listen("infrastructure.callers"));
     return {};
 }
--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -125,6 +125,8 @@
 
 void byte_stream::read_more(bool wanted)
 {
+    if (peer_finished_)
+        return;
     if (!wanted)
         return readable_.reset();
     if (!readable_ && fd_ >= 0)
@@ -158,13 +160,31 @@
     ssize_t const n = recv(fd_, chunk.data(), chunk.size(), 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-    if (n <= 0)
-        return end(n == 0 ? stream_end::finished : stream_end::broken);
+    if (n == 0)
+        return finish_reading();
+    if (n < 0)
+        return end(stream_end::broken);
     in_.append(chunk.data(), static_cast<std::size_t>(n));
     handlers_.received_();
     free_if_empty(in_);
 }
 
+// The end of input is readable for ever: from now on the loop waits only for
+// the stream to break.
+void byte_stream::finish_reading()
+{
+    peer_finished_ = true;
+    readable_ = watch_fd(
+        fd_, static_cast<GIOCondition>(G_IO_ERR | G_IO_HUP), broken, this);
+    handlers_.ended_(stream_end::finished);
+}
+
+gboolean byte_stream::broken(gint, GIOCondition, gpointer self)
+{
+    static_cast<byte_stream*>(self)->end(stream_end::broken);
+    return G_SOURCE_CONTINUE;
+}
+
 void byte_stream::write(std::string bytes)
 {
     if (!out_.empty())
--- a/packages/loop/jackdawhall/loop/byte_stream.hpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -16,13 +16,15 @@
 
 enum class stream_end
 {
-    finished, // the peer sent its last byte
+    finished, // the peer sent its last byte; it may still read
     broken    // the connection was reset or timed out
 };
 
 struct stream_handlers
 {
     std::function<void()> received_; // input() has grown
+    // A stream that is kept after the peer finished may still be written to;
+    // it ends once more if it breaks.
     std::function<void(stream_end)> ended_;
     std::function<void()> written_; // everything written so far has been sent
 };
@@ -82,11 +84,14 @@
 private:
     static gboolean readable(gint fd, GIOCondition condition, gpointer self);
     static gboolean writable(gint fd, GIOCondition condition, gpointer self);
+    static gboolean broken(gint fd, GIOCondition condition, gpointer self);
     void receive();
     void flush();
+    void finish_reading();
     void end(stream_end how);
 
     int fd_ = -1;
+    bool peer_finished_ = false;
     stream_handlers handlers_;
     std::string in_;
     std::string out_;
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -9,7 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/event_loop.hpp>
 #include <jackdawhall/loop/http_message.hpp>
 #include <jackdawhall/loop/timer.hpp>
@@ -60,8 +59,9 @@
     std::uint64_t number_ = 0;
     std::string method_;
     bool keep_alive_ = true;
-    bool last_ = false;   // no request follows the answer
-    bool taking_ = false; // take_bytes is at work on it
+    bool last_ = false;     // no request follows the answer
+    bool finished_ = false; // the caller sends nothing more
+    bool taking_ = false;   // take_bytes is at work on it
     timer_ptr timer_;
     std::unique_ptr<byte_stream> stream_;
 };
@@ -122,7 +122,7 @@
             fd,
             stream_handlers{
                 [&c] { c.owner_->take_bytes(c); },
-                [&c](stream_end) { c.owner_->take_end(c); },
+                [&c](stream_end how) { c.owner_->take_end(c, how); },
                 [&c] { c.owner_->answer_written(c); }},
             caller_stall_time);
         c.timer_ = make_timer([&c] { c.owner_->time_out(c); });
@@ -220,8 +220,12 @@
     handlers_.requested_(c.number_, std::move(r), c.remote_);
 }
 
-void http_server::take_end(connection& c)
+void http_server::take_end(connection& c, stream_end how)
 {
+    bool const owes_answer =
+        c.phase_ == phase::answering || c.phase_ == phase::writing;
+    if (owes_answer && how == stream_end::finished)
+        return take_last_byte(c);
     std::uint64_t const number = c.number_;
     bool const left = open_.erase(number) != 0;
     close(c);
@@ -229,6 +233,15 @@
         handlers_.left_(number);
 }
 
+// The answer is the last of the connection. What was sent behind its request is
+// not taken.
+void http_server::take_last_byte(connection& c)
+{
+    c.finished_ = true;
+    if (c.phase_ == phase::answering && handlers_.finished_)
+        handlers_.finished_(c.number_);
+}
+
 void http_server::refuse(connection& c, std::uint16_t status)
 {
     respond(c, jackdawhall::answer{status, {}, {}}, true);
@@ -248,6 +261,8 @@
 {
     if (c.phase_ != phase::writing)
         return; // 100 Continue
+    if (c.finished_)
+        return close(c);
     bool const stopped = listener_ < 0 && !c.stream_->has_unread();
     if (c.last_ || stopped)
         linger(c);
@@ -271,7 +286,7 @@
         return;
     connection& c = *known->second;
     open_.erase(known);
-    respond(c, a, closing_ || !c.keep_alive_);
+    respond(c, a, closing_ || !c.keep_alive_ || c.finished_);
 }
 
 void http_server::time_out(connection& c)
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/later.hpp>
 #include <jackdawhall/model.hpp>
 
@@ -32,8 +33,11 @@
     std::function<void(
         std::uint64_t number, request r, std::string const& remote_address)>
         requested_;
-    // The caller closed its connection before it was answered.
+    // The connection broke before the request was answered.
     std::function<void(std::uint64_t number)> left_;
+    // The caller ended its sending side before it was answered. It may have
+    // left, or wait for the answer; the request is still to be answered.
+    std::function<void(std::uint64_t number)> finished_ = {};
 };
 
 class http_server
@@ -74,7 +78,8 @@
     void take_bytes(connection& c);
     void take_part(connection& c);
     void take_request(connection& c);
-    void take_end(connection& c);
+    void take_end(connection& c, stream_end how);
+    void take_last_byte(connection& c);
     void refuse(connection& c, std::uint16_t status);
     void respond(connection& c, jackdawhall::answer const& a, bool last);
     void answer_written(connection& c);
