Test what connections to servers that go silent cost, before and after SIGTERM

The relay of the tests drops packets with a socket filter, so that nothing is acknowledged; until now it could only swallow bytes.

The stand-in of a backend server can be slowed down, can finish its requests when it is stopped, and says when each request began and ended; the soak uses these.

--- a/bench/fake_backend.cpp
+++ b/bench/fake_backend.cpp
@@ -5,12 +5,14 @@
 // A request's headers steer it: "fake-crash: 1" ends the process at once,
 // "fake-truncate: 1" states a longer body than it sends, "fake-sleep-ms: N"
 // replaces the service time, and "fake-body-bytes: N" makes the answer longer.
+// From SIGUSR1 until SIGUSR2, requests that begin take ten times as long.
 #include <cstdlib>
 #include <deque>
 #include <iostream>
 #include <unistd.h>
 
 #include <gflags/gflags.h>
+#include <glib-unix.h>
 #include <jackdawhall/loop.hpp>
 #include <nlohmann/json.hpp>
 
@@ -23,6 +25,8 @@
 DEFINE_string(calls, "", "path that each request calls through its daemon");
 DEFINE_bool(echo_headers, false, "answer with the headers of the request");
 DEFINE_string(repeated, "", "header field of requests to repeat in answers");
+DEFINE_bool(times, false, "print when each request began and ended, in ms");
+DEFINE_uint32(drain_s, 2, "longest wait for requests at the stop, in seconds");
 DEFINE_bool(silent, false, "announce nothing");
 DEFINE_string(announced, "", "address to announce; by default --listen");
 
@@ -31,6 +35,16 @@
 
 namespace jd = jackdawhall;
 
+constexpr guint slow_factor = 10;
+// From the announcement that the server is draining on.
+constexpr std::chrono::seconds shortest_drain(2);
+constexpr guint drain_check_interval_ms = 100;
+
+std::int64_t time_of_day_ms()
+{
+    return g_get_real_time() / 1000;
+}
+
 jd::endpoint parse_endpoint(std::string const& text)
 {
     std::size_t const colon = text.rfind(':');
@@ -72,15 +86,18 @@
                     return loop_.quit();
                 state_ = "draining";
                 announce();
-                g_timeout_add_seconds(
-                    2,
+                draining_since_ = std::chrono::steady_clock::now();
+                g_timeout_add(
+                    drain_check_interval_ms,
                     [](gpointer self) -> gboolean
                     {
-                        static_cast<fake_backend*>(self)->loop_.quit();
-                        return G_SOURCE_REMOVE;
+                        static_cast<fake_backend*>(self)->end_if_drained();
+                        return G_SOURCE_CONTINUE;
                     },
                     this);
             });
+        g_unix_signal_add(SIGUSR1, set_slow<true>, this);
+        g_unix_signal_add(SIGUSR2, set_slow<false>, this);
         if (!FLAGS_silent)
         {
             announce();
@@ -98,6 +115,22 @@
     }
 
 private:
+    template <bool Slow>
+    static gboolean set_slow(gpointer self)
+    {
+        static_cast<fake_backend*>(self)->slow_ = Slow;
+        return G_SOURCE_CONTINUE;
+    }
+
+    void end_if_drained()
+    {
+        std::chrono::steady_clock::duration const since =
+            std::chrono::steady_clock::now() - draining_since_;
+        bool const idle = running_ == 0 && since >= shortest_drain;
+        if (idle || since >= std::chrono::seconds(FLAGS_drain_s))
+            loop_.quit();
+    }
+
     void announce()
     {
         nlohmann::json body{
@@ -139,13 +172,20 @@
                   << jd::find_header(
                          w.request_.headers_, jd::idempotency_header)
                   << std::endl;
+        if (FLAGS_times)
+            std::cout << "at " << time_of_day_ms() << " began "
+                      << w.request_.path_ << " left="
+                      << jd::find_header(
+                             w.request_.headers_, jd::timeout_header)
+                      << std::endl;
         if (!jd::find_header(w.request_.headers_, "fake-crash").empty())
             std::_Exit(EXIT_FAILURE);
         std::string const sleep =
             jd::find_header(w.request_.headers_, "fake-sleep-ms");
-        guint const time = sleep.empty()
-                               ? FLAGS_service_ms
-                               : static_cast<guint>(std::atoi(sleep.c_str()));
+        guint const usual = sleep.empty()
+                                ? FLAGS_service_ms
+                                : static_cast<guint>(std::atoi(sleep.c_str()));
+        guint const time = slow_ ? usual * slow_factor : usual;
         std::uint64_t const number = w.number_;
         open_.emplace(number, std::move(w));
         if (time == 0)
@@ -198,6 +238,9 @@
             for (jd::header const& field : r.headers_)
                 a.body_ += field.name_ + ": " + field.value_ + "\n";
         }
+        if (FLAGS_times)
+            std::cout << "at " << time_of_day_ms() << " ended " << r.path_
+                      << std::endl;
         server_.answer(number, a);
         open_.erase(open);
         --running_;
@@ -212,6 +255,8 @@
     std::uint32_t running_ = 0;
     std::uint64_t last_announcement_ = 1ULL << 62;
     std::string state_ = "ready";
+    bool slow_ = false;
+    std::chrono::steady_clock::time_point draining_since_;
 };
 
 } // namespace
--- a/test/failure/forwarder.cpp
+++ b/test/failure/forwarder.cpp
@@ -1,7 +1,9 @@
 // Forwards TCP connections to one address, until SIGUSR1: from then on it reads
 // and drops what comes on the connections that are open, and forwards only new
 // ones, as something between two ends does that lost track of them. At SIGUSR2
-// it resets the connections that are open, at both ends.
+// it resets the connections that are open, at both ends. From SIGHUP on, the
+// kernel drops all packets of the connections that are open: what is sent on
+// them is not even acknowledged.
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -10,6 +12,7 @@
 #include <glib-unix.h>
 #include <jackdawhall/loop.hpp>
 #include <jackdawhall/loop/gobject.hpp>
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 namespace
@@ -135,6 +138,26 @@
     return G_SOURCE_CONTINUE;
 }
 
+void drop_packets(pipe_pair const& p)
+{
+    sock_filter take_nothing = BPF_STMT(BPF_RET | BPF_K, 0);
+    sock_fprog const program{1, &take_nothing};
+    for (GSocket* const end : {socket_of(p.in_), socket_of(p.out_)})
+        setsockopt(
+            g_socket_get_fd(end), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+            sizeof program);
+}
+
+gboolean drop_packets_of_all(gpointer)
+{
+    for (pipe_pair& p : pairs)
+    {
+        p.silent_ = true;
+        drop_packets(p);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -156,6 +179,7 @@
         service.get(), "incoming", G_CALLBACK(accept_one), nullptr);
     g_unix_signal_add(SIGUSR1, go_silent, nullptr);
     g_unix_signal_add(SIGUSR2, reset_all, nullptr);
+    g_unix_signal_add(SIGHUP, drop_packets_of_all, nullptr);
     loop.on_stop_signal([&] { loop.quit(); });
     loop.run();
     return EXIT_SUCCESS;
--- a/test/failure/relays.sh
+++ b/test/failure/relays.sh
@@ -41,12 +41,20 @@
   kill "-$1" "${!name}"
 }
 
-# The links that FROM opened to TO go silent for good, or are reset.
+# The links that FROM opened to TO go silent for good, acknowledging bytes or not,
+# or are reset.
 silence() { signal_relay USR1 "$1" "$2"; }
+drop_packets() { signal_relay HUP "$1" "$2"; }
 reset_links() { signal_relay USR2 "$1" "$2"; }
 
-# start_relayed_fleet TIMEOUT_MS: account, key (in $key), routes, and a backend
-# server each for plans (host 1) and payments (host 2)
+# A backend server each for plans (host 1) and payments (host 2).
+start_servers() {
+  start_backend plans-1 1 $((base + 10)) plans --slots 64
+  start_backend payments-2 2 $((base + 10)) payments --slots 64
+}
+
+# start_relayed_fleet TIMEOUT_MS: account, key (in $key), routes, and backend
+# servers
 start_relayed_fleet() {
   local from to host
   for from in 1 2 3; do
@@ -55,8 +63,7 @@
     done
   done
   start_fleet || fail "the fleet did not become ready"
-  start_backend plans-1 1 $((base + 10)) plans --slots 64
-  start_backend payments-2 2 $((base + 10)) payments --slots 64
+  start_servers
   ctl account set acme --rate 10000 --burst 10000 > /dev/null || fail "account"
   ctl route set plans --path /plans --service plans --repeatable \
     --timeout_ms "$1" > /dev/null || fail "route"
