Take no new link once the last answers to peers are out

Callers of a payment got "may have run" of a request that no server ever saw: a gate that had begun to close its links still accepted new ones until its exit. A peer that had no link with it yet, or had just seen its own end, connected, proved itself and wrote its forward; the gate took it, and its refusal could not be sent any more, since nothing is sent after finish_writing(). To the entry the forward was written and its outcome unknown, and there was nobody left to ask.

Named by reading in the postmortem of requests lost after a SIGTERM; shown now with two ends on loopback. Ruled out: links that are refused earlier, since peers may have to connect again and ask while the gate still writes out.

The gate now closes its listening socket as it begins to close its links: connections that were not accepted are reset, later ones are refused, and the entry has its message back as undelivered, so that it may try elsewhere, a payment too.

refusal_lost_at_exit.cpp:65: FAILED: { "received" } == { "undelivered" }

What remains: a forward that crosses the gate's end on a link that was ready is still counted as unknown.

--- a/packages/loop/jackdawhall/loop/peer_connect.cpp
+++ b/packages/loop/jackdawhall/loop/peer_connect.cpp
@@ -44,6 +44,16 @@
     return {};
 }
 
+// Peers whose connections were not accepted yet see them reset.
+void peer_links::stop_listening()
+{
+    if (!service_)
+        return;
+    g_socket_service_stop(service_.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
+    service_.reset();
+}
+
 peer_links::link& peer_links::add_link()
 {
     link& l = links_.emplace_back();
@@ -54,7 +64,7 @@
 
 void peer_links::accept(GSocketConnection* connection)
 {
-    if (links_.size() >= max_peer_connections)
+    if (finished_ || links_.size() >= max_peer_connections)
         return; // dropping the connection closes it
     link& l = add_link();
     adopt(l, connection);
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -41,8 +41,7 @@
     handlers_ = {
         [](auto const&, auto) {}, [](auto const&, auto) {},
         [](auto const&, auto) {}, [](auto) {}, [] {}};
-    if (service_)
-        g_socket_service_stop(service_.get());
+    stop_listening();
     for (link& l : links_)
         close(l, "");
 }
@@ -305,6 +304,7 @@
 void peer_links::finish_writing()
 {
     finished_ = true;
+    stop_listening();
     for (link& l : links_)
     {
         if (l.stage_ == link_stage::ready)
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -66,7 +66,7 @@
     std::size_t links_behind() const;
 
     // Sends nothing more, and ends each link's writing side: peers then close
-    // theirs.
+    // theirs. Takes no new link, on which nothing could be answered.
     void finish_writing();
 
     std::size_t open_links() const { return links_.size(); }
@@ -86,6 +86,7 @@
     };
 
     link& add_link();
+    void stop_listening();
     void accept(GSocketConnection* connection);
     void connect_to(host_name const& host);
     void adopt(link& l, GSocketConnection* connection);
