--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <optional>
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 #include <jackdawhall/loop/backend_answer.hpp>
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/event_loop.hpp>
@@ -346,7 +343,7 @@
         return finish(c, backend_not_connected{});
     bool const late = read_clocks().now_ >= c.kept_until_;
     bool const silent = c.heard_at_ < c.sent_at_;
-    bool const dead = silent && is_unacknowledged(c);
+    bool const dead = silent && c.stream_->unacknowledged() >= c.sent_bytes_;
     if (dead || (silent && late))
         forget_unheard(c.to_, c.sent_at_);
     if (late)
@@ -356,17 +353,6 @@
     set_timer_due(c.timer_, c.kept_until_);
 }
 
-// The server's kernel has taken nothing of the request.
-bool backend_client::is_unacknowledged(connection const& c)
-{
-    int in_kernel = 0;
-    bool const known =
-        ioctl(c.stream_->descriptor(), SIOCOUTQ, &in_kernel) == 0;
-    std::size_t const waiting =
-        c.stream_->unwritten() + static_cast<std::size_t>(in_kernel);
-    return known && waiting >= c.sent_bytes_;
-}
-
 void backend_client::cancel(std::uint64_t run)
 {
     auto const known = runs_.find(run);
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -108,7 +108,6 @@
     void take_end(connection& c, bool clean);
     void keep(connection& c, duration longest);
     void time_out(connection& c);
-    static bool is_unacknowledged(connection const& c);
     void forget_unheard(endpoint const& to, instant since);
     void finish(connection& c, backend_result result);
     void drop(connection& c);
--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -5,8 +5,10 @@
 #include <cstring>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -229,6 +231,14 @@
             writable, this);
 }
 
+std::size_t byte_stream::unacknowledged() const
+{
+    int in_kernel = 0;
+    if (ioctl(fd_, SIOCOUTQ, &in_kernel) != 0)
+        in_kernel = 0;
+    return out_.size() + static_cast<std::size_t>(in_kernel);
+}
+
 void byte_stream::finish_writing()
 {
     if (fd_ >= 0)
--- a/packages/loop/jackdawhall/loop/byte_stream.hpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -63,6 +63,8 @@
 
     void write(std::string bytes);
     std::size_t unwritten() const { return out_.size() - written_; }
+    // Bytes that wait here or that the peer's kernel has not acknowledged.
+    std::size_t unacknowledged() const;
 
     // Bytes of memory that input and output take.
     std::size_t allocated() const { return in_.capacity() + out_.capacity(); }
@@ -76,7 +78,6 @@
     // Closes at once; no handler is called any more.
     void close();
     bool is_open() const { return fd_ >= 0; }
-    int descriptor() const { return fd_; }
 
     // Says whether the peer sent or ended something that was not read yet.
     bool has_unread() const;
