End only processes that still run when a fleet of the tests is stopped

Now only ids of children that the shell still has are ended: with one of three children ended, "12827 12932 12933" became "12827 12933".

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -81,8 +81,14 @@
   for host in 1 2 3; do wait_for 20 is_ready "$host" || return 1; done
 }
 
+# Only what still runs as a child of this shell: the id of a process that has
+# ended may belong to another one.
 stop_fleet() {
-  for pid in "${fleet_pids[@]}"; do kill "$pid" 2> /dev/null || true; done
+  local running pid
+  running=" $(echo $(jobs -rp) $(jobs -sp)) "
+  for pid in "${fleet_pids[@]}"; do
+    [[ $running != *" $pid "* ]] || kill "$pid" 2> /dev/null || true
+  done
   for pid in "${fleet_pids[@]}"; do wait "$pid" 2> /dev/null || true; done
   fleet_pids=()
 }
--- a/test/failure/soak_events.sh
+++ b/test/failure/soak_events.sh
@@ -50,7 +50,11 @@
 slow_down() { # NAME
   server_takes_signals "$1" || return
   kill -USR1 "${server_pid[$1]}"
-  (pause_ms $slow_ms; kill -USR2 "${server_pid[$1]}" 2> /dev/null) &
+  (
+    pause_ms $slow_ms
+    grep -qs fake_backend "/proc/${server_pid[$1]}/comm" &&
+      kill -USR2 "${server_pid[$1]}"
+  ) &
   helpers+=($!)
 }
 slow_server() { slow_down "$3"; }
