Start no run behind a body that its server has not read

What callers saw: a repeatable call at a sound server ended as connection_lost after 1 s, and was tried elsewhere or answered with a failure.

Cause: a server may answer before it has read a long body, keep the connection, and read on later. The next run went to that connection; the bytes of the former request in the kernel's queue counted as bytes of this one that the server's kernel had not acknowledged, so that the connection passed for dead.

Now a kept connection of which bytes wait or are not acknowledged takes no run: it would wait behind them anyhow.

Before, correctness/early_answers (server reads on after 1.5 s): early_answers.cpp:119: FAILED: CHECK( std::holds_alternative<backend_answered>(last.value()) ) After: all passed (2 assertions in 1 case).

Ruled out: another measure of a dead connection (the time of the last acknowledgement): with the window closed for long, probes are seconds apart.

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -129,7 +129,9 @@
     {
         connection* c = kept.at(at);
         bool const usable = now < c->kept_until_ && !c->stream_->has_unread();
-        if (usable && has_failed(*c, id_hash))
+        // A run would wait behind what the server has not read.
+        bool const behind = usable && c->stream_->unacknowledged() > 0;
+        if (behind || (usable && has_failed(*c, id_hash)))
             continue;
         kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(at));
         if (usable)
--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -236,7 +236,7 @@
     int in_kernel = 0;
     if (ioctl(fd_, SIOCOUTQ, &in_kernel) != 0)
         in_kernel = 0;
-    return out_.size() + static_cast<std::size_t>(in_kernel);
+    return unwritten() + static_cast<std::size_t>(in_kernel);
 }
 
 void byte_stream::finish_writing()
