Use no silent connections again after a run that was cancelled at its deadline

What callers saw: with a time limit of 1 s or less, or where what they sent was acknowledged but not answered, each kept connection to a sound server that had gone silent cost a call of its own.

Cause: connections that nothing came over are forgotten when a run's time is up at the backend client. The calls package cancels a run that may be repeated at its deadline; the client's limit is the same time, counted from a little later, so that the run was always cancelled first (by reading), and cancel() forgot nothing.

Now a run that is cancelled at its time limit forgets them too; one that is cancelled earlier, since its caller left, doesn't.

Before, correctness/silent_servers, the new case, acknowledged or not: silent_servers.cpp:184: FAILED: CHECK( c.is_answered(12) ) After: all passed (21 assertions in 5 cases).

--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -24,6 +24,9 @@
 // A kept connection of which the server has acknowledged nothing for this long
 // is dead.
 constexpr duration unacknowledged_limit = std::chrono::seconds(1);
+// A run that is cancelled at its deadline is cancelled this long before its
+// time limit here, at most.
+constexpr duration cancel_lead_time = std::chrono::milliseconds(50);
 // A connection with more requests than this to remember is not kept.
 constexpr std::size_t max_failed_kept = 64;
 
@@ -361,6 +364,9 @@
     if (known == runs_.end())
         return;
     connection& c = *known->second;
+    bool const late = read_clocks().now_ + cancel_lead_time >= c.kept_until_;
+    if (c.sent_ && c.heard_at_ < c.sent_at_ && late)
+        forget_unheard(c.to_, c.sent_at_);
     if (c.sent_)
         finish_broken(c, indeterminate_reason::cancelled);
     else
--- a/test/correctness/silent_servers.cpp
+++ b/test/correctness/silent_servers.cpp
@@ -163,3 +163,23 @@
     CHECK(answered == 1);
     CHECK(read_clocks().now_ - sent >= 1500ms);
 }
+
+// The calls package cancels a run that may be repeated at its deadline, just
+// before the client's own time limit.
+TEST_CASE("connections found silent by a run that is cancelled at its deadline "
+          "cost no other")
+{
+    bool const acknowledged = GENERATE(false, true);
+    kept_connections c;
+    if (acknowledged)
+        c.relay_.fall_silent();
+    else
+        c.relay_.drop_packets();
+    c.run_for(20ms);
+    c.start(11, 800ms, true);
+    c.run_for(795ms);
+    c.client_.cancel(11);
+    c.start(12, 800ms, true);
+    c.run_for(795ms);
+    CHECK(c.is_answered(12));
+}
