Ignore a late deregistration of a server's earlier process

What callers saw: a server that had just restarted under its id got no work, from a deregistration of its earlier process that came late, until its announcements had lapsed and it was taken anew.

Cause: a deregistration named only the id. It was given the start time of the process known and the highest sequence number, so that the announcements of the new process counted as outdated. The start time that servers give in all that they say of themselves was read from announcements alone.

Now a deregistration carries the start time, and one of an earlier process changes nothing, with a line in the log. One that names no process drains the one known, as before, unless that began less than 10 s ago in the place of another with its id. One of a process that is newer than the one known holds for both.

Ruled out: announcements that say "draining" come with start time and sequence number, and announcements_ordered shows that late ones are ignored; it is unchanged.

Evidence, on the code before (where a deregistration can name nothing): earlier_lives.cpp:101: CHECK( state_of(gate) == server_state::ready ) 2 == 1 earlier_lives.cpp:124: CHECK( state_of(gate) == server_state::draining ) 1 == 2

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -108,6 +108,9 @@
 struct server_deregistered
 {
     std::string server_id_;
+    // Start time of the process that leaves, as in its announcements. 0: not
+    // given.
+    std::int64_t started_ = 0;
     auto operator<=>(server_deregistered const&) const = default;
 };
 // Result of probe_server: whether the server accepts connections.
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -205,6 +205,7 @@
     working_state w, host_name const& from, renewal_response a);
 // Marks a server that shuts down as draining: it gets no new runs, and its runs
 // in progress may finish.
+// A deregistration of an earlier process with its id is ignored.
 working_state
 handle_server_deregistered(working_state w, server_deregistered const& gone);
 // Takes the control hosts of changed settings, and adds new ones to those in
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -1,7 +1,10 @@
-// Removes local backend servers that have ended, and reports the requests that
-// may have crashed them.
+// Removes local backend servers that have ended, with a report on the requests
+// that may have crashed them, and drains those that say that they leave.
 #include <jackdawhall/calls/gate_run.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace jackdawhall::calls
 {
 
@@ -30,6 +33,33 @@
     return suspects.empty() ? recent : suspects;
 }
 
+// What a process says may arrive this long after it has ended.
+constexpr duration late_message_time = std::chrono::seconds(10);
+
+// A deregistration that names no process may be that of an earlier one for as
+// long as its messages may arrive.
+bool is_of_earlier_process(
+    local_server const& server, server_deregistered const& gone, instant now)
+{
+    if (gone.started_ != 0)
+        return gone.started_ < server.announcement_.started_;
+    return server.restarted_ &&
+           now - server.first_heard_at_ < late_message_time;
+}
+
+void log_late_deregistration(
+    working_state& w, local_server const& server,
+    server_deregistered const& gone)
+{
+    w.effects_.push_back(log_message{
+        "deregistration of an earlier process ignored",
+        {{"server", gone.server_id_},
+         {"started", std::to_string(gone.started_)},
+         {"known_started", std::to_string(server.announcement_.started_)},
+         {"known_for_ms",
+          milliseconds_text(w.at_.now_ - server.first_heard_at_)}}});
+}
+
 } // namespace
 
 working_state
@@ -72,6 +102,26 @@
         std::move(w), server_id, refusal_reason::connect_failed);
 }
 
+working_state
+handle_server_deregistered(working_state w, server_deregistered const& gone)
+{
+    auto const known = w.state_->local_servers_.find(gone.server_id_);
+    if (known == w.state_->local_servers_.end())
+        return w;
+    if (is_of_earlier_process(known->second, gone, w.at_.now_))
+    {
+        log_late_deregistration(w, known->second, gone);
+        return w;
+    }
+    announcement last = known->second.announcement_;
+    // Its earlier announcements may still arrive. With the highest sequence
+    // number here, they count as outdated.
+    last.started_ = std::max(last.started_, gone.started_);
+    last.sequence_ = std::numeric_limits<std::int64_t>::max();
+    last.state_ = server_state::draining;
+    return handle_announcement(std::move(w), last);
+}
+
 working_state handle_probe_result(working_state w, probe_result const& p)
 {
     auto const known = w.state_->local_servers_.find(p.server_id_);
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -4,7 +4,6 @@
 #include <jackdawhall/calls/gate_run.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace jackdawhall::calls
 {
@@ -342,8 +341,9 @@
     if (is_outdated(s, a))
         return w;
     auto const before = s.local_servers_.find(a.id_);
-    if (before != s.local_servers_.end() &&
-        before->second.announcement_.started_ < a.started_)
+    bool const restarted = before != s.local_servers_.end() &&
+                           before->second.announcement_.started_ < a.started_;
+    if (restarted)
         // The server restarted under the same id: its old state no longer
         // holds.
         w = remove_server(std::move(w), a.id_, refusal_reason::no_server);
@@ -358,6 +358,7 @@
     if (inserted)
     {
         server.first_heard_at_ = w.at_.now_;
+        server.restarted_ = restarted;
         server.limiter_ = make_limiter(a.slots_, w.at_.now_);
     }
     else if (server.announcement_.slots_ != a.slots_)
@@ -378,20 +379,6 @@
     return w;
 }
 
-working_state
-handle_server_deregistered(working_state w, server_deregistered const& gone)
-{
-    auto const known = w.state_->local_servers_.find(gone.server_id_);
-    if (known == w.state_->local_servers_.end())
-        return w;
-    announcement last = known->second.announcement_;
-    // Its earlier announcements may still arrive. With the highest sequence
-    // number here, they count as outdated.
-    last.sequence_ = std::numeric_limits<std::int64_t>::max();
-    last.state_ = server_state::draining;
-    return handle_announcement(std::move(w), last);
-}
-
 working_state
 set_control_hosts(working_state w, control_hosts_changed const& named)
 {
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -252,6 +252,8 @@
     announcement announcement_;
     instant last_heard_at_;
     instant first_heard_at_;
+    // Whether an earlier process with the same id was known.
+    bool restarted_ = false;
     limiter limiter_;
     std::set<call_number> running_;
     std::vector<call_number> queued_; // oldest first
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -115,7 +115,8 @@
             [&](calls::server_deregistered& g)
             {
                 say(severity::info, part::calls, "backend server leaves",
-                    {{"server", g.server_id_}});
+                    {{"server", g.server_id_},
+                     {"started", std::to_string(g.started_)}});
                 give(calls::input{std::move(g)});
                 orders_->answer(number, platform::to_announcer());
             },
--- a/test/correctness/earlier_lives.cpp
+++ b/test/correctness/earlier_lives.cpp
@@ -32,6 +32,11 @@
     return runs[0].run_;
 }
 
+server_state state_of(single_node const& gate)
+{
+    return gate.state().local_servers_.at("a").announcement_.state_;
+}
+
 bool is_known(single_node const& gate)
 {
     return gate.state().local_servers_.contains("a");
@@ -82,3 +87,39 @@
         run_finished{next, backend_refused{refusal_reason::server_replaced}});
     CHECK_FALSE(is_known(gate));
 }
+
+TEST_CASE(
+    "a late deregistration of a former process doesn't drain the next one")
+{
+    std::int64_t const named = GENERATE(as<std::int64_t>{}, former, 0);
+    single_node gate;
+    gate.announce("a", former);
+    gate.pass(100ms);
+    gate.announce("a", present);
+    gate.pass(5s);
+    gate.give(server_deregistered{"a", named});
+    CHECK(state_of(gate) == server_state::ready);
+    start_run(gate, 1);
+}
+
+TEST_CASE("a deregistration drains the process that it names")
+{
+    std::int64_t const named = GENERATE(as<std::int64_t>{}, present, 0);
+    single_node gate;
+    gate.announce("a", former);
+    gate.announce("a", present);
+    gate.pass(11s); // nothing of the former process is on its way any more
+    gate.give(server_deregistered{"a", named});
+    CHECK(state_of(gate) == server_state::draining);
+    gate.announce("a", present);
+    CHECK(state_of(gate) == server_state::draining);
+}
+
+TEST_CASE("a process that is known only by its deregistration has ended")
+{
+    single_node gate;
+    gate.announce("a", former);
+    gate.give(server_deregistered{"a", present});
+    gate.announce("a", present);
+    CHECK(state_of(gate) == server_state::draining);
+}
