Repeat crash reports until their suspects are in the configuration

What callers saw: a request that crashes servers stayed out of quarantine for one server more, since the report of a crash was lost with its link and nobody sent it again.

Cause: the report was sent once, to the leader known, and its arrival was not followed.

Weighed: an acknowledgement, which earlier builds would not send.

Evidence, on the code before: crash_reports_repeated.cpp:81: CHECK( recorded_crashes(fleet) == std::vector<std::int64_t>{1} ) { } == { 1 } crash_reports_repeated.cpp:101: REQUIRE( node.sent<crash_report>() == std::vector{report} ) { } == { {?} } The case "a crash whose report arrived is counted once" passed before and passes.

--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -192,6 +192,7 @@
     w = track_lease(std::move(w));
     w = send_renewal(std::move(w));
     w = maintain_tokens(std::move(w));
+    w = repeat_crash_reports(std::move(w));
     return resend_claim_releases(std::move(w));
 }
 
@@ -303,6 +304,8 @@
         due = std::min(due, s.run_due_.begin()->first);
     if (!s.pending_releases_.empty())
         due = std::min(due, s.releases_due_);
+    if (!s.crash_reports_.empty())
+        due = std::min(due, s.crash_reports_due_);
     for (auto const& [account, held] : s.token_pools_)
     {
         if (!held.grants_.empty())
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -164,6 +164,13 @@
 // Removes a server that failed its probe, and reports the requests that broke
 // off shortly before as suspects.
 working_state handle_probe_result(working_state w, probe_result const& p);
+// Reports the requests that may have crashed a server, and keeps the report.
+void report_crash(
+    working_state& w, std::string const& server_id,
+    std::vector<std::string> suspects);
+// Repeats, when due, the reports that may be lost: those whose suspects the
+// configuration doesn't hold yet.
+working_state repeat_crash_reports(working_state w);
 // Removes a backend server and refuses the runs queued for it.
 working_state remove_server(
     working_state w, std::string const& server_id, refusal_reason why);
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -92,12 +92,7 @@
     std::set<std::string> const suspects =
         take_suspects(w, w.state_->local_servers_.at(server_id));
     if (!suspects.empty())
-        send_message(
-            w, leader_host(*w.state_),
-            crash_report{
-                w.state_->settings_.self_,
-                server_id,
-                {suspects.begin(), suspects.end()}});
+        report_crash(w, server_id, {suspects.begin(), suspects.end()});
     return remove_server(
         std::move(w), server_id, refusal_reason::connect_failed);
 }
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -269,6 +269,16 @@
     auto operator<=>(local_server const&) const = default;
 };
 
+// A report of a crash, repeated until what it reports is in the configuration.
+struct repeated_crash_report
+{
+    crash_report report_;
+    // Crashes that the configuration held against each suspect before.
+    std::map<std::string, std::int64_t> crashes_before_;
+    instant made_at_;
+    auto operator<=>(repeated_crash_report const&) const = default;
+};
+
 // --- Control hosts ----------------------------------------------------------
 
 struct control_link
@@ -362,6 +372,8 @@
     instant releases_due_;
     std::map<call_number, gate_run> runs_;
     std::map<std::pair<host_name, call_number>, call_number> run_of_forward_;
+    std::deque<repeated_crash_report> crash_reports_; // oldest first
+    instant crash_reports_due_;
     forward_memory forward_memory_; // of forwards that were answered or refused
     // When each run is refused if queued, or cancelled if running and
     // repeatable.
