Remember the number of a forgotten forward, not just the newest one

A caller of a payment that no server had seen got "may have run": its forward was lost with a silent link, later forwards of the same entry arrived over another one, were answered and forgotten 1 s after their deadline, and from then on the gate counted every older forward as forgotten, too. Asked for the lost one it said "unknown"; one that arrived late was not run.

Cause: of what was forgotten only the newest number was kept.

Now the exact numbers are kept, for a minute and 16,384 of them at most, also those of refused forwards whose lifetime is over. Only beyond that bound does the order of the numbers decide, as before, so that "not received" is never said of a forward that ran: a number goes from answers to numbers to the order in one step each.

Before the fix, correctness/forward_memory: a forward older than a forgotten one is reported as not received CHECK( reported_status(gate) == forward_status::not_received ) FAILED, 3 == 2 a forward that is overtaken by a forgotten one runs CHECK( gate.made<run_on_backend>().size() == 1 ) FAILED, 0 == 1

"after an answer was dropped, only newer forwards are not forgotten" asserted the fault for the first answer dropped. It is now two cases: after an answer was dropped exactly its forward is forgotten, and after a number was dropped only newer forwards are not, with the same checks. "numbers that begin again or anew" checks both steps.

--- a/packages/calls/jackdawhall/calls/forward_memory.cpp
+++ b/packages/calls/jackdawhall/calls/forward_memory.cpp
@@ -26,8 +26,11 @@
     return newer - older < max_forwards_of_run;
 }
 
-void forget(forward_memory& m, forward_key const& key)
+void drop_next_number(forward_memory& m)
 {
+    forward_key const key = m.numbers_due_.front().second;
+    m.numbers_due_.pop_front();
+    m.numbers_.erase(key);
     std::vector<call_number>& newest = m.forgotten_[key.first];
     for (call_number& known : newest)
     {
@@ -44,21 +47,30 @@
     newest.push_back(key.second);
 }
 
-void drop_next_answer(forward_memory& m)
+// Keeps just the number of a forward.
+void forget(forward_memory& m, forward_key const& key, instant now)
+{
+    if (m.numbers_.insert(key).second)
+        m.numbers_due_.emplace_back(now + number_retention, key);
+    if (m.numbers_.size() > max_kept_numbers)
+        drop_next_number(m);
+}
+
+void drop_next_answer(forward_memory& m, instant now)
 {
     auto const next = m.answers_due_.begin();
     auto const known = m.answers_.find(next->second);
     m.answer_bytes_ -= answer_bytes(known->second.answer_);
-    forget(m, next->second);
+    forget(m, next->second, now);
     m.answers_.erase(known);
     m.answers_due_.erase(next);
 }
 
-void drop_excess_answers(forward_memory& m)
+void drop_excess_answers(forward_memory& m, instant now)
 {
     while (m.answers_.size() > max_kept_answers ||
            m.answer_bytes_ > max_kept_answer_bytes)
-        drop_next_answer(m);
+        drop_next_answer(m, now);
 }
 
 } // namespace
@@ -66,13 +78,15 @@
 forward_memory expire_memory(forward_memory m, instant now)
 {
     while (!m.answers_due_.empty() && m.answers_due_.begin()->first <= now)
-        drop_next_answer(m);
+        drop_next_answer(m, now);
     while (!m.refused_due_.empty() && m.refused_due_.front().first <= now)
     {
-        forget(m, m.refused_due_.front().second);
+        forget(m, m.refused_due_.front().second, now);
         m.refused_.erase(m.refused_due_.front().second);
         m.refused_due_.pop_front();
     }
+    while (!m.numbers_due_.empty() && m.numbers_due_.front().first <= now)
+        drop_next_number(m);
     return m;
 }
 
@@ -86,13 +100,13 @@
         return m; // the entry is told the first answer
     if (now >= until)
     {
-        forget(m, key);
+        forget(m, key, now);
         return m;
     }
     m.answer_bytes_ += answer_bytes(answer);
     m.answers_.emplace(key, kept_answer{std::move(answer), until});
     m.answers_due_.emplace(until, key);
-    drop_excess_answers(m);
+    drop_excess_answers(m, now);
     return m;
 }
 
@@ -115,6 +129,8 @@
 
 bool is_forgotten(forward_memory const& m, forward_key const& key)
 {
+    if (m.numbers_.contains(key))
+        return true;
     auto const known = m.forgotten_.find(key.first);
     return known != m.forgotten_.end() &&
            std::any_of(
--- a/test/correctness/forward_memory.cpp
+++ b/test/correctness/forward_memory.cpp
@@ -15,6 +15,7 @@
 host_name const entry = name_literal<host_name>("entry");
 constexpr instant start = instant{} + 1h;
 constexpr duration time_limit = 1s;
+constexpr instant answers_expired = start + time_limit + answer_retention;
 
 forward_response answer_of(call_number number, std::size_t bytes = 1)
 {
@@ -113,15 +114,32 @@
     CHECK(is_forgotten(m, {entry, 4}));
 }
 
-TEST_CASE("after an answer was dropped, only newer forwards are not forgotten")
+TEST_CASE("after an answer was dropped, its forward alone is forgotten")
 {
     forward_memory m;
     CHECK_FALSE(is_forgotten(m, {entry, 1}));
     for (std::size_t i = 0; i < max_kept_answers + 10; ++i)
         m = keep(std::move(m), i + 100, 1, start);
+    for (call_number n = 100; n < 110; ++n)
+        CHECK(is_forgotten(m, {entry, n}));
+    CHECK_FALSE(is_forgotten(m, {entry, 99}));
+    CHECK_FALSE(is_forgotten(m, {entry, 110}));
+    CHECK_FALSE(is_forgotten(m, {name_literal<host_name>("other"), 100}));
+}
+
+TEST_CASE("after a number was dropped, only newer forwards are not forgotten")
+{
+    std::size_t const total = max_kept_answers + max_kept_numbers + 10;
+    forward_memory m;
+    for (std::size_t i = 0; i < total; ++i)
+        m = keep(std::move(m), i + 100, 1, start);
+    CHECK(m.numbers_.size() == max_kept_numbers);
+    CHECK(m.numbers_due_.size() == max_kept_numbers);
     CHECK(is_forgotten(m, {entry, 109}));
     CHECK(is_forgotten(m, {entry, 1}));
-    CHECK_FALSE(is_forgotten(m, {entry, 110}));
+    CHECK(is_forgotten(m, {entry, 110}));
+    CHECK(is_forgotten(m, {entry, max_kept_numbers + 109}));
+    CHECK_FALSE(is_forgotten(m, {entry, max_kept_numbers + 110}));
     CHECK_FALSE(is_forgotten(m, {name_literal<host_name>("other"), 1}));
 }
 
@@ -131,10 +149,17 @@
     forward_memory m = keep({}, 1, 1, start);
     m = keep(std::move(m), last, 1, start);
     m = keep(std::move(m), last / 2, 1, start);
-    m = expire_memory(std::move(m), start + time_limit + answer_retention);
+    m = expire_memory(std::move(m), answers_expired);
     CHECK(m.answers_.empty());
     CHECK(is_forgotten(m, {entry, 1}));
     CHECK(is_forgotten(m, {entry, last}));
+    CHECK(is_forgotten(m, {entry, last / 2}));
+    CHECK_FALSE(is_forgotten(m, {entry, last - 1000}));
+    m = expire_memory(std::move(m), answers_expired + number_retention);
+    CHECK(m.numbers_.empty());
+    CHECK(m.numbers_due_.empty());
+    CHECK(is_forgotten(m, {entry, 1}));
+    CHECK(is_forgotten(m, {entry, last}));
     CHECK(is_forgotten(m, {entry, last - 1000}));
     CHECK_FALSE(is_forgotten(m, {entry, 2}));
     CHECK(is_forgotten(m, {entry, last / 2}));
@@ -147,7 +172,8 @@
     forward_memory m;
     for (call_number run = 1; run <= 2 * max_remembered_runs; ++run)
         m = keep(std::move(m), run * 2 * max_forwards_of_run, 1, start);
-    m = expire_memory(std::move(m), start + time_limit + answer_retention);
+    m = expire_memory(std::move(m), answers_expired);
+    m = expire_memory(std::move(m), answers_expired + number_retention);
     CHECK(m.forgotten_.at(entry).size() == max_remembered_runs);
     CHECK(is_forgotten(
         m, {entry, 2 * max_remembered_runs * 2 * max_forwards_of_run}));
@@ -214,6 +240,55 @@
     CHECK(reported_status(gate) == forward_status::unknown);
 }
 
+namespace
+{
+
+// A gate that has answered forward 6 so long ago that the answer is not kept.
+single_node gate_that_forgot_an_answer()
+{
+    single_node gate;
+    gate.announce("a");
+    gate.give(entry, forward(6));
+    gate.give(run_finished{started_run(gate), answered{{200, {}, "done"}}});
+    gate.pass(time_limit + answer_retention);
+    REQUIRE(gate.state().forward_memory_.answers_.empty());
+    return gate;
+}
+
+} // namespace
+
+// Its caller got "may have run" of a payment that no server had seen.
+TEST_CASE("a forward older than a forgotten one is reported as not received")
+{
+    single_node gate = gate_that_forgot_an_answer();
+    gate.give(entry, inquiry(gate, {5}));
+    CHECK(reported_status(gate) == forward_status::not_received);
+    gate.give(entry, inquiry(gate, {6}));
+    CHECK(reported_status(gate) == forward_status::unknown);
+}
+
+TEST_CASE("a forward that is overtaken by a forgotten one runs")
+{
+    single_node gate = gate_that_forgot_an_answer();
+    gate.announce("a", 2);
+    gate.give(entry, forward(5));
+    CHECK(gate.made<run_on_backend>().size() == 1);
+    gate.give(entry, forward(6));
+    CHECK(gate.made<run_on_backend>().empty());
+}
+
+TEST_CASE("a forward that ran is never reported as not received")
+{
+    single_node gate = gate_that_forgot_an_answer();
+    for (int half_minutes = 0; half_minutes < 6; ++half_minutes)
+    {
+        gate.give(entry, inquiry(gate, {6}));
+        CHECK(reported_status(gate) == forward_status::unknown);
+        gate.pass(30s);
+    }
+    CHECK(gate.state().forward_memory_.numbers_.empty());
+}
+
 TEST_CASE("a forward that arrives after its cancellation does not run")
 {
     single_node gate;
