Refuse the runs that are queued when a stop gives up what is left

Callers got 502, "may have run", of requests that no server had seen: at the end of a gate's drain period its queued runs were dropped without a word. Their entries took the end of the gate's links for a reason to ask, reached nobody and gave the calls up as lost.

Cause: the end of the drain period treated a queued run like one at a server.

Now it answers each queued run as not run ("stopping"), which the entry tries elsewhere or passes on as such. Runs at a server are left as before.

--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -1,6 +1,6 @@
 // Graceful shutdown of a call node: its begin, which calls it still takes, and
 // when its work is done.
-#include <jackdawhall/calls/pipeline_context.hpp>
+#include <jackdawhall/calls/gate_run.hpp>
 
 #include <algorithm>
 
@@ -95,6 +95,19 @@
     return w;
 }
 
+// Queued runs have not run: their entries may try elsewhere.
+void refuse_queued_runs(working_state& w)
+{
+    std::vector<call_number> queued;
+    for (auto const& [number, run] : w.state_->runs_)
+    {
+        if (!run.running_)
+            queued.push_back(number);
+    }
+    for (call_number const number : queued)
+        refuse_run(w, number, refusal_reason::stopping);
+}
+
 void log_runs_given_up(working_state& w)
 {
     for (auto const& [number, run] : w.state_->runs_)
@@ -156,6 +169,7 @@
         {{"calls", std::to_string(s.calls_.size())},
          {"runs", std::to_string(s.runs_.size())},
          {"after_ms", milliseconds_text(since)}}});
+    refuse_queued_runs(w);
     log_runs_given_up(w);
     w = give_up_calls(std::move(w));
     w.effects_.push_back(stopped{deliver_by});
