Bound the time of a call that is forwarded during a stop

With a route's time limit raised beyond the grace time, a call that was taken or forwarded after the signal was handed to its gate with the whole time limit. The gate queued it past the end of the entry's drain period; the entry then gave it up as "may have run", though it may not have left the queue.

Cause: the deadline of a call knew nothing of the stop.

Now send_forward shortens it to the end of the drain period, also for calls that waited when the signal came and for retries. The gate refuses the call in time if it is queued, and the server is told the time that there is. Calls forwarded before the signal keep theirs: their gate is told nothing.

Before the fix, correctness/refused_in_time: a call taken during a stop has no more time than the stop CHECK( sent[0].context_.timeout_ <= drain ) FAILED, 60000000us <= 30000000us

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -222,6 +222,10 @@
     state& s = *p.state_;
     entry_call& c = p.call_;
     instant const now = p.at_.now_;
+    // A call that would outlast the drain period is given up at its end: the
+    // gate must know, so as to refuse it in time if it is queued.
+    if (s.stopping_since_)
+        c.deadline_ = std::min(c.deadline_, drained_by(s));
     if (now >= c.deadline_)
     {
         c.forward_.reset();
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -258,6 +258,8 @@
 // interval has passed, within which the shutdown is announced to the control
 // hosts.
 working_state finish_stop(working_state w);
+// When a node that is stopping gives up what is left.
+instant drained_by(state const& s);
 // When finish_stop has something to do at the latest, for a node that is
 // stopping and gets no input.
 instant stop_due(state const& s);
--- a/packages/calls/jackdawhall/calls/stop.cpp
+++ b/packages/calls/jackdawhall/calls/stop.cpp
@@ -39,9 +39,7 @@
 {
     if (c.parent_)
         return true;
-    instant const drained_by =
-        *s.stopping_since_ + s.settings_.shutdown_periods_.drain_period_;
-    return c.open_ && c.deadline_ <= drained_by &&
+    return c.open_ && c.deadline_ <= drained_by(s) &&
            std::any_of(
                s.runs_.begin(), s.runs_.end(),
                [&](auto const& run)
@@ -144,6 +142,11 @@
     return w;
 }
 
+instant drained_by(state const& s)
+{
+    return *s.stopping_since_ + s.settings_.shutdown_periods_.drain_period_;
+}
+
 instant stop_due(state const& s)
 {
     return *s.stopping_since_ +
--- a/test/correctness/refused_in_time.cpp
+++ b/test/correctness/refused_in_time.cpp
@@ -60,3 +60,28 @@
         given[0].verdict_ == verdict{not_run{refusal_reason::stopping, 100ms}});
     CHECK(node.state().run_of_forward_.contains({from, running}));
 }
+
+// A time limit raised beyond the grace time: the gate queued the call until
+// after the entry had given it up.
+TEST_CASE("a call taken during a stop has no more time than the stop")
+{
+    settings s = single_node::make_settings();
+    s.shutdown_periods_.accept_period_ = 2500ms;
+    single_node node(7, s);
+    host_name const gate_host = name_literal<host_name>("gate");
+    duration const drain =
+        node.state().settings_.shutdown_periods_.drain_period_;
+    node.learn(
+        {single_node::server_at(gate_host, 77)}, repetition::repeatable,
+        2 * drain);
+    node.give(caller_request{1, {"GET", "/plans", {}, {}}});
+    REQUIRE(node.sent<forward_request>().size() == 1);
+    CHECK(node.sent<forward_request>()[0].context_.timeout_ == 2 * drain);
+    node.give(stop_requested{});
+    node.give(caller_request{2, {"GET", "/plans", {}, {}}});
+    REQUIRE(node.sent<forward_request>().size() == 1);
+    CHECK(node.sent<forward_request>()[0].context_.timeout_ <= drain);
+    node.pass(drain);
+    CHECK(node.made<stopped>().size() == 1);
+    CHECK(node.made<answer_caller>().size() == 2);
+}
--- a/test/support/single_node.hpp
+++ b/test/support/single_node.hpp
@@ -15,8 +15,9 @@
 class single_node
 {
 public:
-    explicit single_node(std::uint64_t seed = 7)
-        : state_(calls::make_state(make_settings(), random_source(seed), now_))
+    explicit single_node(
+        std::uint64_t seed = 7, calls::settings s = make_settings())
+        : state_(calls::make_state(std::move(s), random_source(seed), now_))
     {
     }
 
@@ -30,6 +31,17 @@
         return name_literal<service_name>("plans");
     }
 
+    static calls::settings make_settings()
+    {
+        calls::settings s;
+        s.self_ = self();
+        s.control_hosts_ = {control_host()};
+        s.announcement_lifetime_ = std::chrono::hours(24);
+        s.retry_budget_policy_.slack_ = 1000;
+        s.retry_budget_policy_.nested_retry_cost_ = 1;
+        return s;
+    }
+
     calls::state const& state() const { return state_; }
     instant now() const { return now_; }
 
@@ -66,14 +78,17 @@
     // Makes an open route to the servers known, as a control host does.
     void learn(
         std::vector<backend_server> servers,
-        repetition repeated = repetition::repeatable)
+        repetition repeated = repetition::repeatable,
+        duration timeout = std::chrono::seconds(5))
     {
         route_v2 plans;
         plans.path_prefix_ = "/plans";
         plans.services_ = {{service(), 1}};
         plans.open_ = true;
         plans.repetition_ = repeated;
-        plans.timeout_ms_ = 5000;
+        plans.timeout_ms_ =
+            std::chrono::duration_cast<std::chrono::milliseconds>(timeout)
+                .count();
         plans.attempts_ = 2;
         renewal_response r;
         r.incarnation_ = state_.incarnation_;
@@ -128,17 +143,6 @@
     }
 
 private:
-    static calls::settings make_settings()
-    {
-        calls::settings s;
-        s.self_ = self();
-        s.control_hosts_ = {control_host()};
-        s.announcement_lifetime_ = std::chrono::hours(24);
-        s.retry_budget_policy_.slack_ = 1000;
-        s.retry_budget_policy_.nested_retry_cost_ = 1;
-        return s;
-    }
-
     instant now_ = instant{} + std::chrono::hours(1);
     calls::state state_;
     calls::effects effects_;
