Test that a call lost at an earlier gate has never two forwards open

A gate of an earlier build is asked nothing: a forward written to a link with it that ended counts as lost. Since a call may now be tried elsewhere with its first forward open, the test holds that this does not happen there: a repeatable call has one forward at a time, and one that can't be repeated is answered at once. It was green before, too; there was no fault.

--- a/test/correctness/earlier_gates.cpp
+++ b/test/correctness/earlier_gates.cpp
@@ -71,3 +71,33 @@
     CHECK(asked[0].incarnation_ == 77);
     CHECK(asked[0].forwards_ == std::vector{n});
 }
+
+TEST_CASE("a call lost at an earlier gate has never two forwards open")
+{
+    repetition const repeated =
+        GENERATE(repetition::repeatable, repetition::once_per_attempt);
+    single_node entry;
+    backend_server const there = single_node::server_at(gate, earlier_build);
+    host_name const other = name_literal<host_name>("other");
+    entry.learn({there}, repeated);
+    forward_response done;
+    done.number_ = forward_new_call(entry);
+    done.verdict_ = ran{{200, {}, "x"}};
+    entry.give(gate, done);
+    entry.pass(1s); // the retry budget fills
+    call_number const n = forward_new_call(entry);
+    entry.learn(
+        {there, single_node::server_at(other, earlier_build)}, repeated);
+    entry.give(link_lost{gate, n});
+    CHECK_FALSE(is_awaited(entry, n));
+    CHECK(entry.state().call_of_forward_.size() <= 1);
+    bool const again = !entry.sent<forward_request>().empty();
+    CHECK(again == (repeated == repetition::repeatable));
+    if (!again)
+    {
+        REQUIRE(entry.made<answer_caller>().size() == 1);
+        CHECK(
+            entry.made<answer_caller>()[0].verdict_ ==
+            verdict{may_have_run{indeterminate_reason::peer_lost}});
+    }
+}
