Ask for an earlier forward also while its call is tried elsewhere

What callers saw (by reading; the entry's part is shown): 502 `cancelled` where a server had been at work. When the path between two daemons is cut for a moment, the gate's report can't be sent either, and the gate gives its run up 1 s later unless the entry asks for it. The entry asked once; from the try elsewhere on it asked for the earlier forward only when that try had ended.

Now it asks every 250 ms for each forward without a report, whichever is current. The next time is a function of both (next_inquiry), set when a forward is sent, asked for or reported.

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -243,6 +243,7 @@
     call_context delegated = c.context_;
     delegated.retries_ = f.delegated_retries_;
     s.call_of_forward_.emplace(f.number_, c.number_);
+    c.wake_at_ = next_inquiry(c, now);
     server_stats& e = s.server_stats_[key_of(f.server_)];
     ++e.in_flight_;
     p.effects_.push_back(send{
--- a/packages/calls/jackdawhall/calls/inquire_forwards.cpp
+++ b/packages/calls/jackdawhall/calls/inquire_forwards.cpp
@@ -64,26 +64,29 @@
     schedule_timer(s, c);
 }
 
-// The gate of an earlier forward is asked again once the call waits for that
-// one alone.
+// A call that has no current forward waits for a server, and keeps its time.
+void set_next_inquiry(state& s, entry_call& c, instant now)
+{
+    if (c.forward_)
+        set_wake_up(s, c, next_inquiry(c, now));
+}
+
 void await_report(state& s, awaited_forward const& f, instant now)
 {
     std::optional<instant>& since = f.forward_->unreported_since_;
     since = since.value_or(now);
-    if (!f.is_current())
-        return;
-    instant const overdue_at = *since + report_timeout;
-    instant const again_at = now + inquiry_interval;
-    set_wake_up(
-        s, *f.call_,
-        now < overdue_at ? std::min(again_at, overdue_at) : again_at);
+    set_next_inquiry(s, *f.call_, now);
 }
 
-void take_report(state& s, awaited_forward const& f)
+void take_report(state& s, awaited_forward const& f, instant now)
 {
     f.forward_->unreported_since_.reset();
-    if (f.is_current())
-        set_wake_up(s, *f.call_, std::nullopt);
+    set_next_inquiry(s, *f.call_, now);
+}
+
+bool is_unreported(std::optional<active_forward> const& f)
+{
+    return f && f->unreported_since_;
 }
 
 // Whether the call would be retried if its forward were lost.
@@ -138,6 +141,11 @@
     send_message(w, host, std::move(asked));
 }
 
+void ask_again(working_state& w, active_forward const& f)
+{
+    send_inquiry(w, f.server_.host_, f.server_.incarnation_, {f});
+}
+
 // A gate of an earlier build reports nothing, and may have cancelled the runs
 // of forwards that were written to the link.
 working_state lose_unreported(
@@ -177,7 +185,7 @@
     {
     case forward_status::in_progress:
         if (awaited)
-            take_report(*w.state_, *found);
+            take_report(*w.state_, *found, w.at_.now_);
         else
             send_message(w, gate, cancel_forward{f.number_});
         return w;
@@ -204,6 +212,16 @@
 
 } // namespace
 
+std::optional<instant> next_inquiry(entry_call const& c, instant now)
+{
+    instant const again_at = now + inquiry_interval;
+    if (!is_unreported(c.forward_))
+        return is_unreported(c.earlier_forward_) ? std::optional(again_at)
+                                                 : std::nullopt;
+    instant const overdue_at = *c.forward_->unreported_since_ + report_timeout;
+    return now < overdue_at ? std::min(again_at, overdue_at) : again_at;
+}
+
 working_state inquire_after_link_loss(working_state w, link_lost const& l)
 {
     std::vector<active_forward> const forwards =
@@ -251,12 +269,17 @@
 working_state repeat_inquiry(working_state w, call_number call)
 {
     entry_call& c = w.state_->calls_.at(call);
-    active_forward const f = *c.forward_;
     instant const now = w.at_.now_;
+    set_next_inquiry(*w.state_, c, now);
+    if (is_unreported(c.earlier_forward_))
+        ask_again(w, *c.earlier_forward_);
+    if (!is_unreported(c.forward_))
+        return w;
+    active_forward const f = *c.forward_;
     bool const overdue = now - *f.unreported_since_ >= report_timeout;
     if (!overdue || !can_retry(*w.state_, c, now))
     {
-        send_inquiry(w, f.server_.host_, f.server_.incarnation_, {f});
+        ask_again(w, f);
         return w;
     }
     log_outcome(w, {&c, &*c.forward_}, "no report");
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -125,7 +125,10 @@
 // for long.
 working_state handle_inquiry_not_sent(
     working_state w, host_name const& gate, forward_inquiry const& asked);
-// Asks the gate of a call's forward again, or tries the call elsewhere if it
+// When a gate of a call that is forwarded is asked next for its forward;
+// nullopt: all that were asked have reported.
+std::optional<instant> next_inquiry(entry_call const& c, instant now);
+// Asks the gates of a call's forwards again, or tries the call elsewhere if it
 // can be retried and the gate has not reported in time.
 working_state repeat_inquiry(working_state w, call_number call);
 // Cancels a forward that is not waited for any more.
