Call no request refused whose earlier try may have run

What callers saw: `not-run` (503) for a request of a repeatable route of which one try was lost, or its outcome unknown, and the next one refused. docs/CALLING.md promises of that verdict that no byte of the request reached a backend server.

Cause: the verdict of the last try was given as that of the call. Where a deadline or a shutdown ended the call, earlier tries were looked at (possibly_ran).

Now a refusal that ends a call with a lost try is given as may-have-run, `peer_lost`. Calls that can't be repeated have no lost try that is followed by another. What stays: where the earlier forward itself is refused after the call waited for it alone again, it still counts as lost, so that the caller is told may-have-run of a request that has not run.

--- a/packages/calls/jackdawhall/calls/earlier_forward.cpp
+++ b/packages/calls/jackdawhall/calls/earlier_forward.cpp
@@ -30,6 +30,14 @@
     return record_server_outcome(std::move(w), f, a);
 }
 
+// A refusal says nothing of an earlier try that may have run.
+verdict verdict_of_all_tries(entry_call const& c, verdict last)
+{
+    if (c.lost_tries_ > 0 && std::holds_alternative<not_run>(last))
+        return may_have_run{indeterminate_reason::peer_lost};
+    return last;
+}
+
 void log_waits_again(working_state& w, entry_call const& c)
 {
     w.effects_.push_back(log_message{
@@ -101,7 +109,8 @@
     if (c.earlier_forward_ && !is_final(a))
         return wait_again(std::move(w), std::move(c));
     cancel_earlier(w, c);
-    return finish_call(std::move(w), std::move(c), std::move(a.verdict_));
+    verdict v = verdict_of_all_tries(c, std::move(a.verdict_));
+    return finish_call(std::move(w), std::move(c), std::move(v));
 }
 
 bool is_earlier(state const& s, call_number forward)
