Charge no retry for a try that no other gate can make

What callers saw: fewer retries than their route's budget allows. A repeatable call without a report for 400 ms was charged a retry, its server a failure, and the log said `request retried`, also where the service has no server behind another gate, so that the call went on waiting for the same forward. One silent link of such a service spent the budget.

Now a call is tried elsewhere only if a server behind another gate is known; otherwise its gate is asked again every 250 ms, and the servers are looked at again each time.

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -188,6 +188,15 @@
 
 } // namespace
 
+bool has_other_gate(state const& s, entry_call const& c)
+{
+    candidates const all = not_draining(s, c.service_);
+    return std::any_of(
+        all.begin(), all.end(),
+        [&](backend_server const* server)
+        { return server->host_ != c.forward_->server_.host_; });
+}
+
 pipeline_context choose_server(pipeline_context p)
 {
     state& s = *p.state_;
--- a/packages/calls/jackdawhall/calls/inquire_forwards.cpp
+++ b/packages/calls/jackdawhall/calls/inquire_forwards.cpp
@@ -89,9 +89,11 @@
     return f && f->unreported_since_;
 }
 
-// Whether the call would be retried if its forward were lost.
-bool can_retry(state const& s, entry_call const& c, instant now)
+// Whether the call would be retried at another gate if its forward were lost.
+bool can_try_elsewhere(state const& s, entry_call const& c, instant now)
 {
+    if (!has_other_gate(s, c))
+        return false;
     entry_call after = c;
     ++after.servers_reached_;
     return decide_retry(
@@ -255,8 +257,8 @@
             continue;
         bool const ended =
             now - *found->forward_->unreported_since_ >= gate_return_time;
-        bool const elsewhere =
-            found->is_current() && can_retry(*w.state_, *found->call_, now);
+        bool const elsewhere = found->is_current() &&
+                               can_try_elsewhere(*w.state_, *found->call_, now);
         if (!ended && !elsewhere)
             continue; // asked again at its wake-up
         log_outcome(w, *found, "gate out of reach");
@@ -277,7 +279,7 @@
         return w;
     active_forward const f = *c.forward_;
     bool const overdue = now - *f.unreported_since_ >= report_timeout;
-    if (!overdue || !can_retry(*w.state_, c, now))
+    if (!overdue || !can_try_elsewhere(*w.state_, c, now))
     {
         ask_again(w, f);
         return w;
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -101,6 +101,9 @@
 // retry and chooses a server.
 working_state
 retry_call(working_state w, entry_call c, retry_reason why, verdict const& v);
+// Whether a server of the call's service is known behind another gate than that
+// of its forward.
+bool has_other_gate(state const& s, entry_call const& c);
 // Tries a call elsewhere whose gate does not report. Its forward stays open.
 working_state try_elsewhere(working_state w, call_number call);
 // Ends a call that is no longer in state::calls_ and can't be retried. If an
