Let callers that hold most yield: large requests, and answers not read

A request that comes in and an answer that goes out are now entries of the ledger, on the account of the caller's address. A request that yields is refused with 503 and Retry-After before it is whole, so it has not run; an answer that its caller does not read is broken off by a reset. Bodies are written without a second copy.

--- a/packages/loop/jackdawhall/loop/byte_stream.cpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.cpp
@@ -125,6 +125,12 @@
     fd_ = -1;
 }
 
+void byte_stream::reset()
+{
+    linger const at_once{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void byte_stream::read_more(bool wanted)
 {
     if (peer_finished_)
--- a/packages/loop/jackdawhall/loop/byte_stream.hpp
+++ b/packages/loop/jackdawhall/loop/byte_stream.hpp
@@ -75,6 +75,9 @@
     // Ends the writing side; the peer may still send.
     void finish_writing();
 
+    // Lets the peer see that the connection was broken off when it is closed.
+    void reset();
+
     // Closes at once; no handler is called any more.
     void close();
     bool is_open() const { return fd_ >= 0; }
--- a/packages/loop/jackdawhall/loop/http_message.cpp
+++ b/packages/loop/jackdawhall/loop/http_message.cpp
@@ -58,7 +58,9 @@
     bool const expects_body = r.method_ == "POST" || r.method_ == "PUT";
     if (!r.body_.empty() || expects_body)
         out += "content-length: " + std::to_string(r.body_.size()) + "\r\n";
-    return out + "\r\n" + r.body_;
+    out += "\r\n";
+    out.reserve(out.size() + r.body_.size());
+    return out.append(r.body_);
 }
 
 std::string to_text(answer const& a, std::string const& method, bool last)
@@ -72,7 +74,10 @@
     if (last)
         out += "connection: close\r\n";
     out += "\r\n";
-    return has_body(method, a.status_) ? out + a.body_ : out;
+    if (!has_body(method, a.status_))
+        return out;
+    out.reserve(out.size() + a.body_.size());
+    return out.append(a.body_);
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -1,5 +1,6 @@
 #include <jackdawhall/loop/http_server.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <utility>
@@ -25,6 +26,7 @@
 // Bytes of the next request that are taken in while one is in progress.
 constexpr std::size_t max_early_bytes = 64 << 10;
 constexpr int accepts_at_once = 32;
+constexpr char give_up_retry_after[] = "1"; // seconds
 
 enum class phase
 {
@@ -64,12 +66,14 @@
     bool taking_ = false;   // take_bytes is at work on it
     timer_ptr timer_;
     std::unique_ptr<byte_stream> stream_;
+    std::unique_ptr<budget_share> share_;
 };
 
 http_server::http_server(
-    endpoint listen, std::uint32_t max_connections, http_handlers handlers)
+    endpoint listen, std::uint32_t max_connections, http_handlers handlers,
+    budget_ptr budget)
     : listen_(std::move(listen)), max_connections_(max_connections),
-      handlers_(std::move(handlers))
+      handlers_(std::move(handlers)), budget_(std::move(budget))
 {
 }
 
@@ -117,6 +121,8 @@
         std::array<char, INET_ADDRSTRLEN> text{};
         inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
         c.remote_ = text.data();
+        c.share_ = std::make_unique<budget_share>(
+            budget_, [&c] { c.owner_->give_up(c); });
         connections_.emplace(c.id_, std::move(made));
         c.stream_ = std::make_unique<byte_stream>(
             fd,
@@ -166,6 +172,41 @@
     } while (c.phase_ == phase::reading && c.stream_->is_open() &&
              !in.empty() && in.size() < before);
     c.taking_ = false;
+    count(c);
+}
+
+// Says what the connection holds, of a request that comes in or of an answer
+// that goes out. A request in progress is the call node's.
+void http_server::count(connection& c)
+{
+    if (!c.share_)
+        return;
+    std::size_t const buffers = c.stream_->allocated();
+    if (c.phase_ != phase::reading)
+        return c.share_->set(unread_answer{c.remote_}, buffers);
+    std::size_t const body = c.parser_->get().body().capacity();
+    std::size_t const head =
+        c.began_
+            ? std::min<std::size_t>(c.taken_, c.owner_->limits_.header_bytes_)
+            : 0;
+    c.share_->set(request_in_progress{c.remote_}, buffers + body + head);
+}
+
+// Refuses a request that comes in, as not run; closes the connection of a
+// caller that does not read its answer.
+void http_server::give_up(connection& c)
+{
+    switch (c.phase_)
+    {
+    case phase::reading:
+        return refuse(c, {503, {{"retry-after", give_up_retry_after}}, {}});
+    case phase::answering:
+        return; // its bytes are few: max_early_bytes
+    case phase::writing:
+    case phase::lingering:
+        c.stream_->reset();
+        return close(c);
+    }
 }
 
 void http_server::take_part(connection& c)
@@ -187,7 +228,7 @@
     boost::beast::error_code const error =
         feed(*c.parser_, in, c.taken_, limits_.header_bytes_);
     if (error)
-        return refuse(c, status_of(error));
+        return refuse(c, {status_of(error), {}, {}});
     if (c.parser_->is_done())
         return take_request(c);
     if (!c.parser_->is_header_done())
@@ -242,19 +283,22 @@
         handlers_.finished_(c.number_);
 }
 
-void http_server::refuse(connection& c, std::uint16_t status)
+void http_server::refuse(connection& c, jackdawhall::answer a)
 {
-    respond(c, jackdawhall::answer{status, {}, {}}, true);
+    c.parser_.reset(); // with what came in of the request
+    respond(c, std::move(a), true);
 }
 
-void http_server::respond(
-    connection& c, jackdawhall::answer const& a, bool last)
+void http_server::respond(connection& c, jackdawhall::answer a, bool last)
 {
     c.phase_ = phase::writing;
     c.last_ = last;
     // How long the caller may take nothing is the stream's concern.
     set_timer_due(c.timer_, instant::max());
-    c.stream_->write(to_text(a, c.method_, last));
+    std::string text = to_text(a, c.method_, last);
+    a = {};
+    c.stream_->write(std::move(text));
+    count(c);
 }
 
 void http_server::answer_written(connection& c)
@@ -268,6 +312,7 @@
         linger(c);
     else
         begin_request(c);
+    count(c);
 }
 
 void http_server::linger(connection& c)
@@ -279,21 +324,21 @@
     arm(c, linger_time);
 }
 
-void http_server::answer(std::uint64_t number, jackdawhall::answer const& a)
+void http_server::answer(std::uint64_t number, jackdawhall::answer a)
 {
     auto const known = open_.find(number);
     if (known == open_.end())
         return;
     connection& c = *known->second;
     open_.erase(known);
-    respond(c, a, closing_ || !c.keep_alive_ || c.finished_);
+    respond(c, std::move(a), closing_ || !c.keep_alive_ || c.finished_);
 }
 
 void http_server::time_out(connection& c)
 {
     bool const slow = c.phase_ == phase::reading && c.began_;
     if (slow)
-        return refuse(c, 408);
+        return refuse(c, {408, {}, {}});
     close(c);
 }
 
@@ -303,6 +348,7 @@
     if (known == connections_.end())
         return;
     c.stream_->close();
+    c.share_.reset();
     c.timer_.reset();
     closed_.push_back(std::move(known->second));
     connections_.erase(known);
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -13,6 +13,7 @@
 
 #include <jackdawhall/loop/byte_stream.hpp>
 #include <jackdawhall/loop/later.hpp>
+#include <jackdawhall/loop/memory_budget.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -40,11 +41,15 @@
     std::function<void(std::uint64_t number)> finished_ = {};
 };
 
+// Of all connections, for a server without a budget of its process.
+inline constexpr std::size_t max_server_bytes = 256 << 20;
+
 class http_server
 {
 public:
     http_server(
-        endpoint listen, std::uint32_t max_connections, http_handlers handlers);
+        endpoint listen, std::uint32_t max_connections, http_handlers handlers,
+        budget_ptr budget = std::make_shared<memory_budget>(max_server_bytes));
     ~http_server();
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
@@ -57,7 +62,7 @@
     void set_limits(http_limits const& limits) { limits_ = limits; }
 
     // Answers a request, unless its caller has left.
-    void answer(std::uint64_t number, jackdawhall::answer const& a);
+    void answer(std::uint64_t number, jackdawhall::answer a);
 
     // From now on each answer is the last of its connection.
     void announce_closing() { closing_ = true; }
@@ -80,8 +85,10 @@
     void take_request(connection& c);
     void take_end(connection& c, stream_end how);
     void take_last_byte(connection& c);
-    void refuse(connection& c, std::uint16_t status);
-    void respond(connection& c, jackdawhall::answer const& a, bool last);
+    void refuse(connection& c, jackdawhall::answer a);
+    void respond(connection& c, jackdawhall::answer a, bool last);
+    static void count(connection& c);
+    void give_up(connection& c);
     void answer_written(connection& c);
     void begin_request(connection& c);
     void linger(connection& c);
@@ -93,6 +100,7 @@
     endpoint listen_;
     std::uint32_t max_connections_;
     http_handlers handlers_;
+    budget_ptr budget_;
     http_limits limits_;
     int listener_ = -1;
     source_ptr acceptable_;
