Let queues to peers yield, and keep each message in them once

60 callers that do not read answers of 7 MB took 261 MB at the gate, 200 of them 461 MB: a queue held each message twice, as given and as written, and only a link's own bound of 96 MB limited it.

A queue keeps encoded frames alone, written by one gathered write, and takes the message out of its frame when it is given back. Queues, messages before a link is ready and frames that come in are entries of the ledger, on the account of the peer. A queue yields its largest messages of which no byte was written, to half; they are handed back as withdrawn, since the link goes on and nobody would ask for them. Only a queue without such messages closes its link, as a frame that comes in does. A large frame is taken out of the input before it is handled.

error/peer_frames says the same of the queue in terms of whole frames, and checks the counts besides; the handlers in the two tests of links got a place for withdrawn messages.

--- a/packages/loop/jackdawhall/loop/peer_connect.cpp
+++ b/packages/loop/jackdawhall/loop/peer_connect.cpp
@@ -58,6 +58,11 @@
 {
     link& l = links_.emplace_back();
     l.owner_ = this;
+    l.queue_share_ = std::make_unique<budget_share>(
+        budget_, [&l] { l.owner_->give_up_queue(l); });
+    l.frame_share_ = std::make_unique<budget_share>(
+        budget_,
+        [&l] { l.owner_->close(l, "its messages take too much memory"); });
     l.health_.last_received_ = l.health_.last_used_ = read_clocks().now_;
     return l;
 }
--- a/packages/loop/jackdawhall/loop/peer_frames.cpp
+++ b/packages/loop/jackdawhall/loop/peer_frames.cpp
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include <glib.h>
 
@@ -14,18 +15,20 @@
 {
 
 constexpr std::size_t length_bytes = 4;
-constexpr std::size_t header_bytes = length_bytes + 1; // and the kind
 
 // A frame's kind is its place in peer_frame.
-std::string payload_of(peer_frame const& f)
+std::vector<std::string_view> payload_of(peer_frame const& f)
 {
+    using parts = std::vector<std::string_view>;
     return std::visit(
         overloaded{
-            [](ping_frame const&) { return std::string(); },
-            [](pong_frame const&) { return std::string(); },
-            [](message_frame const& m) { return m.bytes_; },
-            [](challenge_frame const& c) { return c.nonce_; },
-            [](hello_frame const& h) { return h.host_ + "\n" + h.proof_; },
+            [](ping_frame const&) { return parts{}; },
+            [](pong_frame const&) { return parts{}; },
+            [](message_frame const& m) { return parts{m.bytes_}; },
+            [](challenge_frame const& c) { return parts{c.nonce_}; },
+            [](hello_frame const& h) {
+                return parts{h.host_, "\n", h.proof_};
+            },
         },
         f);
 }
@@ -60,16 +63,19 @@
 
 std::string encode_frame(peer_frame const& f)
 {
-    std::string const payload = payload_of(f);
-    guint32 const length =
-        GUINT32_TO_BE(static_cast<guint32>(payload.size() + 1));
-    std::array<char, header_bytes> header{};
+    std::vector<std::string_view> const payload = payload_of(f);
+    std::size_t size = 0;
+    for (std::string_view const part : payload)
+        size += part.size();
+    guint32 const length = GUINT32_TO_BE(static_cast<guint32>(size + 1));
+    std::array<char, frame_header_bytes> header{};
     std::memcpy(header.data(), &length, length_bytes);
     header.back() = static_cast<char>(f.index());
     std::string bytes;
-    bytes.reserve(header.size() + payload.size());
+    bytes.reserve(header.size() + size);
     bytes.append(header.data(), header.size());
-    bytes.append(payload);
+    for (std::string_view const part : payload)
+        bytes.append(part);
     return bytes;
 }
 
@@ -85,8 +91,8 @@
     if (bytes.size() - length_bytes < length)
         return incomplete_frame{};
     auto const kind = static_cast<unsigned char>(bytes[length_bytes]);
-    std::optional<peer_frame> frame =
-        make_frame(kind, std::string(bytes.substr(header_bytes, length - 1)));
+    std::optional<peer_frame> frame = make_frame(
+        kind, std::string(bytes.substr(frame_header_bytes, length - 1)));
     if (!frame)
         return malformed_frame{
             "frame of unknown kind, or of a payload that does not fit it"};
--- a/packages/loop/jackdawhall/loop/peer_frames.hpp
+++ b/packages/loop/jackdawhall/loop/peer_frames.hpp
@@ -44,6 +44,9 @@
 using peer_frame = std::variant<
     ping_frame, pong_frame, message_frame, challenge_frame, hello_frame>;
 
+// Length and kind, before the payload.
+inline constexpr std::size_t frame_header_bytes = 5;
+
 std::string encode_frame(peer_frame const& f);
 
 // What stands at the beginning of bytes received.
--- a/packages/loop/jackdawhall/loop/peer_link.hpp
+++ b/packages/loop/jackdawhall/loop/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -44,7 +45,10 @@
     std::string in_;
     frame_queue waiting_;
     std::deque<std::pair<std::string, std::uint64_t>> before_ready_;
+    std::size_t before_ready_bytes_ = 0;
     link_health health_;
+    std::unique_ptr<budget_share> queue_share_;
+    std::unique_ptr<budget_share> frame_share_;
     std::uint32_t pings_ = 0; // not answered
 };
 
--- a/packages/loop/jackdawhall/loop/peer_links.cpp
+++ b/packages/loop/jackdawhall/loop/peer_links.cpp
@@ -1,6 +1,8 @@
 #include <jackdawhall/loop/peer_links.hpp>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 #include <jackdawhall/loop/peer_frames.hpp>
 #include <jackdawhall/loop/peer_link.hpp>
@@ -13,6 +15,11 @@
 
 constexpr std::uint32_t max_unproven_frame_bytes = 512;
 constexpr std::size_t read_bytes = 64 << 10;
+// A frame of this size is taken out of the input before it is handled.
+constexpr std::size_t large_frame_bytes = 64 << 10;
+// Messages of less are not withdrawn from a queue.
+constexpr std::size_t least_withdrawn_bytes = 16 << 10;
+constexpr std::size_t vectors_at_once = 16;
 constexpr int reads_at_once = 16; // so that one peer does not hold others up
 
 instant now()
@@ -23,10 +30,12 @@
 } // namespace
 
 peer_links::peer_links(
-    host_name self, endpoint listen, std::string secret, peer_handlers handlers)
+    host_name self, endpoint listen, std::string secret, peer_handlers handlers,
+    budget_ptr budget)
     : self_(std::move(self)), listen_(std::move(listen)),
       secret_(std::move(secret)), handlers_(std::move(handlers)),
-      client_(g_socket_client_new()), read_buffer_(read_bytes)
+      budget_(std::move(budget)), client_(g_socket_client_new()),
+      read_buffer_(read_bytes)
 {
     g_socket_client_set_enable_proxy(client_.get(), FALSE);
     g_socket_client_set_timeout(
@@ -39,8 +48,12 @@
 peer_links::~peer_links()
 {
     handlers_ = {
-        [](auto const&, auto) {}, [](auto const&, auto) {},
-        [](auto const&, auto) {}, [](auto) {}, [] {}};
+        [](auto const&, auto) {},
+        [](auto const&, auto) {},
+        [](auto const&, auto) {},
+        [](auto const&, auto) {},
+        [](auto) {},
+        [] {}};
     stop_listening();
     for (link& l : links_)
         close(l, "");
@@ -68,6 +81,9 @@
         failed_.insert_or_assign(l.host_, now());
     if (!l.host_.empty() && !why.empty())
         handlers_.note_("link with " + l.host_.str() + " closed: " + why);
+    l.queue_share_->clear();
+    l.frame_share_->clear();
+    std::string().swap(l.in_);
     host_name const host = l.host_;
     std::vector<std::string> unwritten = take_unwritten(l.waiting_);
     for (std::string& bytes : unwritten)
@@ -101,6 +117,7 @@
         l.health_ = mark_received(l.health_, now());
         l.in_.append(read_buffer_.data(), static_cast<std::size_t>(n));
         take_frames(l);
+        count(l);
         if (static_cast<std::size_t>(n) < read_buffer_.size())
             return;
     }
@@ -124,6 +141,10 @@
                 [&](whole_frame& f)
                 {
                     at += f.size_;
+                    if (f.size_ >= large_frame_bytes)
+                        l.in_.erase(0, std::exchange(at, 0));
+                    if (l.in_.empty())
+                        std::string().swap(l.in_);
                     take_frame(l, std::move(f.frame_));
                 },
             },
@@ -192,6 +213,7 @@
     failed_.erase(l.host_);
     auto waiting = std::move(l.before_ready_);
     l.before_ready_.clear();
+    l.before_ready_bytes_ = 0;
     for (auto& [bytes, tag] : waiting)
     {
         if (l.stage_ == link_stage::closed)
@@ -205,7 +227,6 @@
 
 void peer_links::queue(link& l, peer_frame f, std::uint64_t tag)
 {
-    std::string const bytes = encode_frame(f);
     message_frame* message = std::get_if<message_frame>(&f);
     if (std::holds_alternative<ping_frame>(f))
     {
@@ -213,15 +234,16 @@
         l.health_ = mark_probed(l.health_, now());
     }
     bool const asks = !std::holds_alternative<pong_frame>(f);
-    if (l.waiting_.out_.size() + bytes.size() > max_waiting_bytes)
+    std::string bytes = encode_frame(f);
+    if (l.waiting_.waiting_ + bytes.size() > max_waiting_bytes)
     {
         if (message)
             handlers_.undelivered_(l.host_, std::move(message->bytes_));
         return close(l, "the peer reads too slowly");
     }
-    add_frame(
-        l.waiting_, bytes, message ? std::move(message->bytes_) : std::string{},
-        tag);
+    add_frame(l.waiting_, {std::move(bytes), tag, message != nullptr});
+    if (message)
+        message->bytes_ = {};
     if (message)
         l.health_ = mark_used(l.health_, now());
     if (asks && !l.health_.unanswered_since_ && l.stage_ == link_stage::ready)
@@ -232,27 +254,43 @@
     flush(l);
 }
 
+// Writes the first frames that wait. Returns what g_socket_send_message() does.
+std::ptrdiff_t peer_links::write_some(link& l, error_ptr& error)
+{
+    std::array<GOutputVector, vectors_at_once> vectors{};
+    std::size_t count = 0;
+    std::size_t skipped = l.waiting_.written_;
+    for (waiting_frame const& f : l.waiting_.frames_)
+    {
+        if (count == vectors.size())
+            break;
+        vectors.at(count++) = {
+            f.bytes_.data() + skipped, f.bytes_.size() - skipped};
+        skipped = 0;
+    }
+    GError* raw = nullptr;
+    gssize const n = g_socket_send_message(
+        l.socket_, nullptr, vectors.data(), static_cast<gint>(count), nullptr,
+        0, G_SOCKET_MSG_NONE, nullptr, &raw);
+    error.reset(raw);
+    return n;
+}
+
 void peer_links::flush(link& l)
 {
-    std::string const& out = l.waiting_.out_;
-    std::size_t done = 0;
-    while (done < out.size())
+    while (l.waiting_.waiting_ > 0)
     {
-        GError* raw = nullptr;
-        gssize const n = g_socket_send(
-            l.socket_, out.data() + done, out.size() - done, nullptr, &raw);
-        error_ptr const error(raw);
-        if (n < 0 && g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        error_ptr error;
+        std::ptrdiff_t const n = write_some(l, error);
+        if (n < 0 &&
+            g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
             break;
         if (n < 0)
-        {
-            take_written(l.waiting_, done);
             return close(l, message_of(error));
-        }
-        done += static_cast<std::size_t>(n);
+        take_written(l.waiting_, static_cast<std::size_t>(n));
     }
-    take_written(l.waiting_, done);
-    if (out.empty())
+    count(l);
+    if (l.waiting_.waiting_ == 0)
     {
         if (l.writable_)
             collect_.ask();
@@ -271,6 +309,35 @@
         &l);
 }
 
+void peer_links::count(link& l)
+{
+    if (l.stage_ == link_stage::closed)
+        return;
+    l.queue_share_->set(
+        peer_queue{l.host_}, l.waiting_.allocated_ + l.before_ready_bytes_);
+    l.frame_share_->set(frame_in_progress{l.host_}, l.in_.capacity());
+}
+
+// Withdraws the largest messages until half of the queue is left. A link whose
+// queue has none to withdraw is closed.
+void peer_links::give_up_queue(link& l)
+{
+    std::size_t const enough = l.waiting_.allocated_ / 2;
+    bool any = false;
+    while (l.stage_ == link_stage::ready && l.waiting_.allocated_ > enough)
+    {
+        std::optional<std::string> largest =
+            withdraw_largest(l.waiting_, least_withdrawn_bytes);
+        if (!largest)
+            break;
+        any = true;
+        handlers_.withdrawn_(l.host_, std::move(*largest));
+    }
+    if (!any)
+        return close(l, "its messages take too much memory");
+    count(l);
+}
+
 void peer_links::take_pong(link& l)
 {
     if (l.pings_ > 0)
@@ -294,7 +361,7 @@
     for (link const& l : links_)
     {
         bool const open = l.stage_ != link_stage::closed;
-        if (open && (l.pings_ > 0 || !l.waiting_.out_.empty() ||
+        if (open && (l.pings_ > 0 || l.waiting_.waiting_ > 0 ||
                      !l.before_ready_.empty()))
             ++count;
     }
@@ -319,7 +386,7 @@
     std::size_t bytes = 0;
     for (link const& l : links_)
     {
-        bytes += l.waiting_.out_.size();
+        bytes += l.waiting_.waiting_;
         for (auto const& waiting : l.before_ready_)
             bytes += waiting.first.size();
     }
--- a/packages/loop/jackdawhall/loop/peer_links.hpp
+++ b/packages/loop/jackdawhall/loop/peer_links.hpp
@@ -17,6 +17,7 @@
 
 #include <jackdawhall/loop/gobject.hpp>
 #include <jackdawhall/loop/later.hpp>
+#include <jackdawhall/loop/memory_budget.hpp>
 #include <jackdawhall/loop/peer_frames.hpp>
 #include <jackdawhall/model.hpp>
 
@@ -35,6 +36,8 @@
     std::function<void(host_name const& host, std::uint64_t newest_written)>
         lost_;
     std::function<void(host_name const& to, std::string bytes)> undelivered_;
+    // No byte of it was written, and the link goes on: it took too much memory.
+    std::function<void(host_name const& to, std::string bytes)> withdrawn_;
     std::function<void(std::string)> note_;
     // In a later round of the loop: bytes that waited are written, or a link
     // closed.
@@ -46,7 +49,8 @@
 public:
     peer_links(
         host_name self, endpoint listen, std::string secret,
-        peer_handlers handlers);
+        peer_handlers handlers,
+        budget_ptr budget = std::make_shared<memory_budget>(max_waiting_bytes));
     ~peer_links();
     peer_links(peer_links const&) = delete;
     peer_links& operator=(peer_links const&) = delete;
@@ -100,6 +104,9 @@
     void take_hello(link& l, hello_frame const& hello);
     void queue(link& l, peer_frame f, std::uint64_t tag);
     void flush(link& l);
+    static std::ptrdiff_t write_some(link& l, error_ptr& error);
+    static void count(link& l);
+    void give_up_queue(link& l);
     void arm(link& l, duration after);
     void arm_check(link& l);
     void tend(link& l);
@@ -119,6 +126,7 @@
     endpoint listen_;
     std::string secret_;
     peer_handlers handlers_;
+    budget_ptr budget_;
     object_ptr<GSocketService> service_;
     object_ptr<GSocketClient> client_;
     std::map<host_name, endpoint> addresses_;
--- a/packages/loop/jackdawhall/loop/peer_send.cpp
+++ b/packages/loop/jackdawhall/loop/peer_send.cpp
@@ -68,7 +68,11 @@
     if (l->stage_ == link_stage::ready)
         queue(*l, message_frame{std::move(bytes)}, tag);
     else
+    {
+        l->before_ready_bytes_ += bytes.capacity();
         l->before_ready_.emplace_back(std::move(bytes), tag);
+        count(*l);
+    }
 }
 
 // Messages that waited for a link that was not made go over another one, if
--- a/packages/loop/jackdawhall/loop/peer_silence.cpp
+++ b/packages/loop/jackdawhall/loop/peer_silence.cpp
@@ -25,7 +25,7 @@
     int in_kernel = 0;
     if (ioctl(g_socket_get_fd(l.socket_), SIOCOUTQ, &in_kernel) != 0)
         in_kernel = 0;
-    return l.waiting_.out_.size() + static_cast<std::size_t>(in_kernel);
+    return l.waiting_.waiting_ + static_cast<std::size_t>(in_kernel);
 }
 
 void peer_links::arm(link& l, duration after)
--- a/test/correctness/links_after_pause.cpp
+++ b/test/correctness/links_after_pause.cpp
@@ -38,7 +38,9 @@
         [received](host_name const&, std::string bytes)
         { received(std::move(bytes)); },
         [lost](host_name const&, std::uint64_t) { lost(); },
-        [](host_name const&, std::string const&) {}, [](std::string const&) {},
+        [](host_name const&, std::string const&) {},
+        [](host_name const&, std::string const&) {},
+        [](std::string const&) {},
         [] {}};
 }
 
--- a/test/correctness/silent_links.cpp
+++ b/test/correctness/silent_links.cpp
@@ -50,7 +50,8 @@
          { near_lost_.push_back(read_clocks().now_); },
          [this](host_name const&, std::string bytes)
          { near_undelivered_.push_back(std::move(bytes)); },
-         [](std::string const&) {}, [] {}}};
+         [](host_name const&, std::string const&) {}, [](std::string const&) {},
+         [] {}}};
     peer_links far_{
         far,
         far_address_,
@@ -58,6 +59,7 @@
         {[this](host_name const&, std::string bytes)
          { far_received_.push_back(std::move(bytes)); },
          [](host_name const&, std::uint64_t) {},
+         [](host_name const&, std::string const&) {},
          [](host_name const&, std::string const&) {}, [](std::string const&) {},
          [] {}}};
 
--- a/test/error/peer_frames.cpp
+++ b/test/error/peer_frames.cpp
@@ -92,11 +92,14 @@
 TEST_CASE("what was not written comes back, what was written in part does not")
 {
     frame_queue q;
-    add_frame(q, "aaaa", "a", 1);
-    add_frame(q, "bbbb", "b", 2);
-    add_frame(q, "cccc", "c", 3);
-    take_written(q, 5);
+    std::size_t const frame_bytes = encode_frame(message_frame{"a"}).size();
+    add_frame(q, {encode_frame(message_frame{"a"}), 1, true});
+    add_frame(q, {encode_frame(message_frame{"b"}), 2, true});
+    add_frame(q, {encode_frame(message_frame{"c"}), 3, true});
+    take_written(q, frame_bytes + 1);
     CHECK(q.newest_written_ == 1);
+    CHECK(q.waiting_ == 2 * frame_bytes - 1);
     CHECK(take_unwritten(q) == std::vector<std::string>{"c"});
     CHECK(q.newest_written_ == 2);
+    CHECK(q.allocated_ == 0);
 }
