Let the call node give back kept answers and queued runs

Kept answers (16 MiB) and the bodies of queued runs had bounds of their own that added up beyond a host's limit. held_bytes() says what the node keeps, and the input reduce_held_bytes says how far it is to fall: answers go first, the one that is kept no longer first (an entry that asks is told that the outcome is unknown), then queued runs, the least important first, as not run (shed_at_gate). The node knows nothing of the loop or of other holders.

A message that was withdrawn from a queue is given back with a mark: its link goes on, so its entry would wait for the answer until its deadline. The entry is told may-have-run answer_too_large at once. A run's answer moves through finish_run without a copy.

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -45,8 +45,17 @@
 struct message_not_sent
 {
     outgoing outgoing_;
+    // It took too much memory; the link with the peer goes on.
+    bool withdrawn_ = false;
     auto operator<=>(message_not_sent const&) const = default;
 };
+// The daemon holds too much for others: what this node keeps, as held_bytes()
+// counts it, is to fall to `bytes_`.
+struct reduce_held_bytes
+{
+    std::size_t bytes_ = 0;
+    auto operator<=>(reduce_held_bytes const&) const = default;
+};
 // One of the links with a host ended. What was written to it may not have
 // arrived; the host and its other links may be sound.
 struct link_lost
@@ -135,7 +144,8 @@
 using input = std::variant<
     received, timer_expired, caller_request, caller_disconnected,
     caller_finished, message_not_sent, link_lost, run_finished, announcement,
-    server_deregistered, probe_result, stop_requested, control_hosts_changed>;
+    server_deregistered, probe_result, stop_requested, control_hosts_changed,
+    reduce_held_bytes>;
 
 // --- Effects ----------------------------------------------------------------
 
--- a/packages/calls/jackdawhall/calls/end_runs.cpp
+++ b/packages/calls/jackdawhall/calls/end_runs.cpp
@@ -93,7 +93,7 @@
 
 } // namespace
 
-working_state finish_run(working_state w, run_finished const& done)
+working_state finish_run(working_state w, run_finished done)
 {
     state& s = *w.state_;
     auto const known = s.runs_.find(done.run_);
@@ -107,14 +107,14 @@
         observe_duration{stage::server, w.at_.now_ - run.started_at_});
     std::visit(
         overloaded{
-            [&](answered const& a)
+            [&](answered& a)
             {
                 if (still_known)
                     update_limit(w, server->second, run);
                 // A 503 of the server counts as shedding, unless a nested call
                 // of the run failed, which may be its cause.
                 bool const shed = a.answer_.status_ == 503 && !run.call_failed_;
-                send_answer(w, run, ran{a.answer_}, shed);
+                send_answer(w, run, ran{std::move(a.answer_)}, shed);
             },
             [&](not_connected const& n)
             {
--- a/packages/calls/jackdawhall/calls/forward_memory.cpp
+++ b/packages/calls/jackdawhall/calls/forward_memory.cpp
@@ -90,6 +90,13 @@
     return m;
 }
 
+forward_memory drop_answers(forward_memory m, std::size_t bytes, instant now)
+{
+    while (m.answer_bytes_ > bytes)
+        drop_next_answer(m, now);
+    return m;
+}
+
 forward_memory keep_answer(
     forward_memory m, forward_key const& key, forward_response answer,
     instant deadline, instant now)
--- a/packages/calls/jackdawhall/calls/forward_memory.hpp
+++ b/packages/calls/jackdawhall/calls/forward_memory.hpp
@@ -77,6 +77,10 @@
 // Drops what is kept no longer.
 forward_memory expire_memory(forward_memory m, instant now);
 
+// Drops answers, the one that is kept no longer first, until they have `bytes`
+// at most.
+forward_memory drop_answers(forward_memory m, std::size_t bytes, instant now);
+
 // Whether a forward may have been answered, with no answer kept of it: its
 // number is kept, or it is not newer than one whose number was dropped.
 bool is_forgotten(forward_memory const& m, forward_key const& key);
--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -77,6 +77,7 @@
     w.state_->run_of_ticket_.emplace(run.ticket_, number);
     ++w.state_->counters_.runs_;
     duration const left = run.deadline_ - w.at_.now_;
+    w.state_->queued_bytes_ -= run.request_.body_.size();
     request sent = std::exchange(run.request_, {});
     sent.headers_ = remove_hop_by_hop_headers(sent.headers_);
     std::erase_if(
@@ -182,6 +183,7 @@
     }
     state& s = *w.state_;
     s.local_servers_.at(f.server_id_).queued_.push_back(run.number_);
+    s.queued_bytes_ += run.request_.body_.size();
     s.run_due_.emplace(due_time(run), run.number_);
     s.run_of_forward_.emplace(std::pair{run.entry_, run.forward_}, run.number_);
     s.runs_.emplace(run.number_, std::move(run));
--- a/packages/calls/jackdawhall/calls/gate_run.cpp
+++ b/packages/calls/jackdawhall/calls/gate_run.cpp
@@ -33,6 +33,7 @@
 
 void erase_run(state& s, gate_run const& run)
 {
+    s.queued_bytes_ -= run.request_.body_.size(); // empty once it has started
     s.run_due_.erase({due_time(run), run.number_});
     s.run_of_forward_.erase({run.entry_, run.forward_});
     if (!run.ticket_.empty())
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -114,6 +114,23 @@
     return finish_call(std::move(w), std::move(c), r.verdict_);
 }
 
+// An answer that took too much memory here was not sent, and its entry has no
+// reason to ask for it: it is told at once.
+void replace_withdrawn_answer(working_state& w, outgoing const& unsent)
+{
+    verdict const v = may_have_run{indeterminate_reason::answer_too_large};
+    if (forward_response const* a =
+            std::get_if<forward_response>(&unsent.message_))
+    {
+        forward_response told = *a;
+        told.verdict_ = v;
+        send_message(w, unsent.to_, std::move(told));
+    }
+    if (outcome_response const* o =
+            std::get_if<outcome_response>(&unsent.message_))
+        send_message(w, unsent.to_, outcome_response{o->number_, v});
+}
+
 working_state
 handle_message_not_sent(working_state w, message_not_sent const& u)
 {
@@ -129,6 +146,8 @@
     if (forward_report const* r =
             std::get_if<forward_report>(&u.outgoing_.message_))
         return handle_report_not_sent(std::move(w), to, *r);
+    if (u.withdrawn_)
+        replace_withdrawn_answer(w, u.outgoing_);
     forward_request const* f =
         std::get_if<forward_request>(&u.outgoing_.message_);
     if (!f)
@@ -263,13 +282,16 @@
                 w = ask_outcomes_again(std::move(w), l.host_);
                 w = cancel_again(std::move(w), l.host_);
             },
-            [&](run_finished& d) { w = finish_run(std::move(w), d); },
+            [&](run_finished& d)
+            { w = finish_run(std::move(w), std::move(d)); },
             [&](announcement& a) { w = handle_announcement(std::move(w), a); },
             [&](server_deregistered& g)
             { w = handle_server_deregistered(std::move(w), g); },
             [&](probe_result& p) { w = handle_probe_result(std::move(w), p); },
             [&](control_hosts_changed& n)
             { w = set_control_hosts(std::move(w), n); },
+            [&](reduce_held_bytes& r)
+            { w = reduce_held(std::move(w), r.bytes_); },
             [&](stop_requested&) { w = begin_stop(std::move(w)); },
         },
         in);
--- a/packages/calls/jackdawhall/calls/pipeline.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline.hpp
@@ -16,6 +16,9 @@
 // Handles one input that arrived at `at`.
 node_step run(state s, input in, clock_reading at);
 
+// Bytes of the copies of answers that the node keeps, and of queued requests.
+std::size_t held_bytes(state const& s);
+
 // Returns the earliest instant at which a timer_expired input has work to do.
 instant next_due(state const& s);
 
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -166,7 +166,7 @@
 call_number
 select_run_to_shed(working_state const& w, local_server const& server);
 // Reports the outcome of a run to its entry and starts the next runs.
-working_state finish_run(working_state w, run_finished const& done);
+working_state finish_run(working_state w, run_finished done);
 // Removes a server that failed its probe, and reports the requests that broke
 // off shortly before as suspects.
 working_state handle_probe_result(working_state w, probe_result const& p);
@@ -200,6 +200,10 @@
 // that are past their deadline.
 working_state expire_runs(working_state w);
 
+// Drops kept answers, oldest first, and then refuses queued runs, the least
+// important first, until the node holds `bytes` at most.
+working_state reduce_held(working_state w, std::size_t bytes);
+
 // --- Shared state.
 
 working_state handle_announcement(working_state w, announcement const& a);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -371,6 +371,7 @@
     std::map<claim_id, held_claim> pending_releases_; // not confirmed yet
     instant releases_due_;
     std::map<call_number, gate_run> runs_;
+    std::size_t queued_bytes_ = 0; // bodies of the runs that have not started
     std::map<std::pair<host_name, call_number>, call_number> run_of_forward_;
     std::deque<repeated_crash_report> crash_reports_; // oldest first
     instant crash_reports_due_;
