Give the daemon one budget for the bytes that it holds for others

A faulty server or callers that do not read filled a gate beyond the limit of its host (260 MB, 160 MB on grown sites), and all callers' requests would have ended with it. Each part had bounds of its own, none was for the process.

Each yield has a bounded log line (kind, for whom, bytes, total); metrics say what is held now and at most, and yields by kind. Blocks of 128 KiB and more go back to the system when freed: left to itself the C library raises that bound with each block. Whether this alone is needed was not measured. Answers move to their callers without copies.

--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -10,6 +10,17 @@
 namespace
 {
 
+// Share of the host's memory for the bytes held for others. The rest is for the
+// program, the configuration, and the copies of one message being handled.
+constexpr std::size_t held_share_dividend = 3;
+constexpr std::size_t held_share_divisor = 10;
+
+std::size_t held_budget(settings::daemon_settings const& s)
+{
+    return (std::size_t{s.memory_mb_} << 20) * held_share_dividend /
+           held_share_divisor;
+}
+
 constexpr duration settings_check = std::chrono::seconds(1);
 
 // When a file was last written; nothing while there is none.
@@ -58,6 +69,14 @@
 
 daemon::daemon(settings::daemon_settings s)
     : settings_(std::move(s)),
+      budget_(std::make_shared<loop::memory_budget>(held_budget(settings_))),
+      kept_by_calls_(
+          budget_,
+          [this]
+          {
+              give(calls::input{
+                  calls::reduce_held_bytes{calls::held_bytes(calls_) / 2}});
+          }),
       calls_(calls::make_state(
           call_settings(settings_), random_source::from_system_entropy(),
           loop::read_clocks().now_))
@@ -66,36 +85,34 @@
 
 leaf::result<void> daemon::start()
 {
+    budget_->on_yield([this](loop::yielded const& y) { log_yield(y); });
     loop::peer_handlers peers;
     peers.received_ = [this](host_name const& from, std::string bytes)
-    { receive_bytes(from, bytes); };
+    { receive_bytes(from, std::move(bytes)); };
     peers.lost_ = [this](host_name const& host, std::uint64_t newest)
     { take_link_lost(host, newest); };
     peers.undelivered_ = [this](host_name const& to, std::string bytes)
-    {
-        leaf::result<message> m = wire::decode_message(bytes);
-        if (m && control::is_operator_request(m.value()))
-            give(control::input{
-                control::message_not_sent{{to, std::move(m.value())}}});
-        else if (m)
-            give(calls::input{
-                calls::message_not_sent{{to, std::move(m.value())}}});
-    };
+    { take_undelivered(to, std::move(bytes), false); };
+    peers.withdrawn_ = [this](host_name const& to, std::string bytes)
+    { take_undelivered(to, std::move(bytes), true); };
     peers.note_ = [this](std::string const& text)
     { say(severity::info, part::peers, text); };
     peers.settled_ = [this] { go_on_with_shutdown(); };
     links_ = std::make_unique<loop::peer_links>(
-        settings_.host_, settings_.peers_, settings_.fleet_secret_, peers);
+        settings_.host_, settings_.peers_, settings_.fleet_secret_, peers,
+        budget_);
     for (settings::control_host const& host : settings_.control_hosts_)
         links_->set_address(host.host_, host.peers_);
     BOOST_LEAF_CHECK(links_->listen());
 
-    backends_ = std::make_unique<loop::backend_client>(loop::backend_handlers{
-        [this](std::uint64_t run, loop::backend_result result)
-        { take_backend_result(run, std::move(result)); },
-        [this](std::string const& server_id, bool alive) {
-            give(calls::input{calls::probe_result{server_id, alive}});
-        }});
+    backends_ = std::make_unique<loop::backend_client>(
+        loop::backend_handlers{
+            [this](std::uint64_t run, loop::backend_result result)
+            { take_backend_result(run, std::move(result)); },
+            [this](std::string const& server_id, bool alive) {
+                give(calls::input{calls::probe_result{server_id, alive}});
+            }},
+        budget_);
 
     if (settings_.callers_.port_ != 0)
         BOOST_LEAF_CHECK(start_own_front());
@@ -106,7 +123,8 @@
         loop::http_handlers{
             [this](std::uint64_t number, request r, std::string const&)
             { operator_request(number, r); },
-            [this](std::uint64_t number) { operator_changes_.erase(number); }});
+            [this](std::uint64_t number) { operator_changes_.erase(number); }},
+        budget_);
     BOOST_LEAF_CHECK(operators_->listen("listen.operators"));
     if (settings_.control_)
         BOOST_LEAF_CHECK(begin_control());
@@ -121,7 +139,8 @@
         settings_.callers_, settings_.max_connections_,
         caller_handlers(
             [this](std::uint64_t number, request r, std::string const& remote)
-            { caller_request(number, std::move(r), remote); }));
+            { caller_request(number, std::move(r), remote); }),
+        budget_);
     BOOST_LEAF_CHECK(callers_->listen("listen.callers"));
     return {};
 }
@@ -252,6 +271,7 @@
     calls::node_step step =
         calls::run(std::move(calls_), std::move(in), loop::read_clocks());
     calls_ = std::move(step.state_);
+    count_kept_by_calls();
     follow_limits();
     for (calls::effect& e : step.effects_)
         carry_out(std::move(e));
@@ -293,12 +313,27 @@
 
 // --- Messages ---------------------------------------------------------------
 
-void daemon::receive_bytes(host_name const& from, std::string const& bytes)
+// `withdrawn`: the link with the host goes on, so that nothing is asked again.
+void daemon::take_undelivered(
+    host_name const& to, std::string bytes, bool withdrawn)
+{
+    leaf::result<message> m = wire::decode_message(bytes);
+    bytes = {};
+    if (m && control::is_operator_request(m.value()))
+        give(control::input{
+            control::message_not_sent{{to, std::move(m.value())}}});
+    else if (m)
+        give(calls::input{
+            calls::message_not_sent{{to, std::move(m.value())}, withdrawn}});
+}
+
+void daemon::receive_bytes(host_name const& from, std::string bytes)
 {
     leaf::try_handle_all(
         [&]() -> leaf::result<void>
         {
             BOOST_LEAF_AUTO(m, wire::decode_message(bytes));
+            bytes = {}; // a large message is not held twice
             receive(from, std::move(m));
             return {};
         },
@@ -371,7 +406,7 @@
             [&](send& s) { transmit(std::move(s.outgoing_)); },
             [&](log_message& n)
             { say(severity::info, part::calls, n.text_, n.fields_); },
-            [&](calls::answer_caller& a) { answer_http(a); },
+            [&](calls::answer_caller& a) { answer_http(std::move(a)); },
             [&](calls::run_on_backend& r) { run_on_backend(r); },
             [&](calls::cancel_run& c) { backends_->cancel(c.run_); },
             [&](calls::probe_server& p)
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -70,14 +70,16 @@
     void timer_fired();
 
     // Messages.
-    void receive_bytes(host_name const& from, std::string const& bytes);
+    void receive_bytes(host_name const& from, std::string bytes);
     void receive(host_name const& from, message m);
+    void
+    take_undelivered(host_name const& to, std::string bytes, bool withdrawn);
     void transmit(outgoing out);
     void connect_address(host_name const& host, message const& m);
 
     // Effects of the call node.
     void carry_out(calls::effect e);
-    void answer_http(calls::answer_caller const& a);
+    void answer_http(calls::answer_caller a);
     void log_answer(calls::answer_caller const& a);
     void run_on_backend(calls::run_on_backend const& r);
     void take_backend_result(std::uint64_t run, loop::backend_result result);
@@ -134,8 +136,14 @@
     open_work count_open_work() const;
     std::vector<loop::http_server*> answering_servers() const;
 
+    // The bytes held for others.
+    void count_kept_by_calls();
+    void log_yield(loop::yielded const& y);
+
     settings::daemon_settings settings_;
     loop::event_loop loop_;
+    loop::budget_ptr budget_;
+    loop::budget_share kept_by_calls_;
     calls::state calls_;
     std::optional<control::state> control_;
     std::optional<journal::journal_file> journal_;
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -131,7 +131,7 @@
               (now - calls_.control_.last_answer_at_).count() / 1000)}});
 }
 
-void daemon::answer_http(calls::answer_caller const& a)
+void daemon::answer_http(calls::answer_caller a)
 {
     auto const began = request_began_.find(a.number_);
     if (began != request_began_.end())
@@ -141,9 +141,10 @@
     }
     log_answer(a);
     if (settings_.infrastructure_)
-        callers_->answer(a.number_, platform::to_caller(a.verdict_, a.root_));
+        callers_->answer(
+            a.number_, platform::to_caller(std::move(a.verdict_), a.root_));
     else
-        callers_->answer(a.number_, to_http(a.verdict_, a.root_));
+        callers_->answer(a.number_, to_http(std::move(a.verdict_), a.root_));
 }
 
 // Only a backend server on this very host may announce itself here.
@@ -344,6 +345,7 @@
             "journal_sync_seconds", "Time of a sync of the journal.",
             {{"", sync_latency_}});
     }
+    text += expose_budget(*budget_);
     text += expose_process(count_log_lines(), inputs_.size());
     text += expose_latencies(
         "request_seconds",
--- a/packages/daemon/jackdawhall/daemon/http_answer.cpp
+++ b/packages/daemon/jackdawhall/daemon/http_answer.cpp
@@ -102,7 +102,7 @@
     return {status, {{"content-type", "application/json"}}, std::move(body)};
 }
 
-answer to_http(verdict const& v, std::string const& request_id)
+answer to_http(verdict v, std::string const& request_id)
 {
     answer a = std::visit(
         overloaded{
@@ -120,9 +120,9 @@
                     status_of(m.reason_), "may-have-run",
                     std::string(to_text(m.reason_)));
             },
-            [](ran const& r)
+            [](ran& r)
             {
-                answer whole = r.answer_;
+                answer whole = std::move(r.answer_);
                 whole.headers_.push_back({verdict_header, "ran"});
                 return whole;
             },
--- a/packages/daemon/jackdawhall/daemon/http_answer.hpp
+++ b/packages/daemon/jackdawhall/daemon/http_answer.hpp
@@ -8,7 +8,7 @@
 namespace jackdawhall::daemon
 {
 
-answer to_http(verdict const& v, std::string const& request_id);
+answer to_http(verdict v, std::string const& request_id);
 
 answer json_answer(std::uint16_t status, std::string body);
 
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -30,7 +30,8 @@
         loop::http_handlers{
             [this](std::uint64_t number, request r, std::string const&)
             { infrastructure_order(number, r); },
-            [](std::uint64_t) {}});
+            [](std::uint64_t) {}},
+        budget_);
     // Operators send whole configurations.
     loop::http_limits limits;
     limits.body_bytes_ = 64 << 20;
@@ -47,13 +48,15 @@
                     number, platform::to_readiness(
                                 platform::asks_readiness(r) && is_ready()));
             },
-            [](std::uint64_t) {}});
+            [](std::uint64_t) {}},
+        budget_);
     BOOST_LEAF_CHECK(readiness_->listen("infrastructure.readiness"));
     callers_ = std::make_unique<loop::http_server>(
         i.callers_, settings_.max_connections_,
         caller_handlers(
             [this](std::uint64_t number, request r, std::string const&)
-            { infrastructure_request(number, std::move(r)); }));
+            { infrastructure_request(number, std::move(r)); }),
+        budget_);
     BOOST_LEAF_CHECK(callers_->listen("infrastructure.callers"));
     return {};
 }
--- a/packages/daemon/jackdawhall/daemon/metrics.cpp
+++ b/packages/daemon/jackdawhall/daemon/metrics.cpp
@@ -263,4 +263,26 @@
     return out.str();
 }
 
+std::string expose_budget(loop::memory_budget const& b)
+{
+    std::ostringstream out;
+    expose_one(
+        out, "held_bytes", "gauge", "Memory held for others.", b.held().total_);
+    expose_one(
+        out, "held_bytes_peak", "gauge", "Most memory held for others so far.",
+        b.held().peak_);
+    expose_one(
+        out, "held_bytes_budget", "gauge",
+        "Memory that may be held for others.", b.bytes());
+    head(
+        out, "yields_total", "counter",
+        "Holders told to give memory back, by what they held.");
+    for (std::size_t kind = 0; kind < b.yields().size(); ++kind)
+        line(
+            out, "yields_total",
+            "kind=\"" + std::string(loop::kind_text(kind)) + "\"",
+            b.yields().at(kind));
+    return out.str();
+}
+
 } // namespace jackdawhall::daemon
--- a/packages/daemon/jackdawhall/daemon/metrics.hpp
+++ b/packages/daemon/jackdawhall/daemon/metrics.hpp
@@ -15,6 +15,7 @@
 #include <jackdawhall/calls.hpp>
 #include <jackdawhall/control.hpp>
 #include <jackdawhall/daemon/log.hpp>
+#include <jackdawhall/loop.hpp>
 
 namespace jackdawhall::daemon
 {
@@ -60,6 +61,9 @@
 // Gauges of the control node.
 std::string expose_control(control::state const& s, instant now);
 
+// Memory held for others, and who was told to give some back.
+std::string expose_budget(loop::memory_budget const& b);
+
 // What the process itself uses.
 std::string expose_process(log_counts const& lines, std::size_t inputs);
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -4,6 +4,7 @@
 
 #include <gflags/gflags.h>
 #include <jackdawhall/daemon.hpp>
+#include <malloc.h>
 
 DEFINE_string(settings, "", "settings file (YAML); see examples/");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -15,6 +16,16 @@
 
 namespace jd = jackdawhall;
 
+// Blocks of this size and more are given back to the system as soon as they are
+// freed. Left to itself, the library raises the bound with each freed block.
+constexpr int returned_block_bytes = 128 << 10;
+
+void keep_freed_memory_small()
+{
+    mallopt(M_MMAP_THRESHOLD, returned_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, returned_block_bytes);
+}
+
 int run_daemon(jd::settings::daemon_settings const& settings)
 {
     jd::daemon::set_up_log(settings);
@@ -47,6 +58,7 @@
 
 int main(int argc, char** argv)
 {
+    keep_freed_memory_small();
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/packages/settings/jackdawhall/settings/daemon_settings.cpp
+++ b/packages/settings/jackdawhall/settings/daemon_settings.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t least_secret_characters = 16;
 constexpr std::size_t most_control_hosts = 7;
+constexpr std::uint32_t least_memory_mb = 64;
+constexpr std::uint32_t most_memory_mb = 1 << 20;
 
 void read_roles(check& c, YAML::Node const& map)
 {
@@ -230,7 +232,7 @@
          "control_seeds", "first_start", "infrastructure", "data_folder",
          "fleet_secret", "fleet_secret_file", "operator_token",
          "operator_token_file", "log", "retries_per_request", "newest_schema",
-         "max_connections"});
+         "max_connections", "memory_mb"});
     daemon_settings& s = c.settings_;
     s.host_ = read_name<host_name>(c, map, "host");
     s.location_.region_ = read_name<region_name>(c, map, "region");
@@ -250,6 +252,8 @@
     read_number(c, map, "retries_per_request", 0, 10, s.retries_);
     read_number(c, map, "newest_schema", 1, 3, s.newest_schema_);
     read_number(c, map, "max_connections", 16, 16384, s.max_connections_);
+    read_number(
+        c, map, "memory_mb", least_memory_mb, most_memory_mb, s.memory_mb_);
     check_control_role(c, map);
 }
 
--- a/packages/settings/jackdawhall/settings/daemon_settings.hpp
+++ b/packages/settings/jackdawhall/settings/daemon_settings.hpp
@@ -68,6 +68,7 @@
     std::uint32_t retries_ = 3;       // of a request, over its whole chain
     std::uint32_t newest_schema_ = 3; // of configuration records
     std::uint32_t max_connections_ = 4096;
+    std::uint32_t memory_mb_ = 160; // of the host, for this daemon
     auto operator<=>(daemon_settings const&) const = default;
 };
 
