--- a/packages/loop/jackdawhall/loop/backend_client.cpp
+++ b/packages/loop/jackdawhall/loop/backend_client.cpp
@@ -66,17 +66,9 @@
     std::unique_ptr<budget_share> share_;
 };
 
-struct backend_client::probe_in_progress
-{
-    backend_client* owner_ = nullptr;
-    std::string server_id_;
-    int fd_ = -1;
-    source_ptr connecting_;
-    timer_ptr timer_;
-};
-
 backend_client::backend_client(backend_handlers handlers, budget_ptr budget)
-    : handlers_(std::move(handlers)), budget_(std::move(budget))
+    : handlers_(std::move(handlers)), prober_(handlers_.probed_),
+      budget_(std::move(budget))
 {
 }
 
@@ -84,8 +76,6 @@
 {
     for (auto const& held : connections_)
         close_fd(held.second->connecting_fd_);
-    for (auto const& held : probes_)
-        close_fd(held.second->fd_);
 }
 
 void backend_client::run(
@@ -418,45 +408,11 @@
 void backend_client::collect()
 {
     closed_.clear();
-    ended_.clear();
 }
 
 void backend_client::probe(std::string const& server_id, endpoint const& to)
 {
-    auto made = std::make_unique<probe_in_progress>();
-    probe_in_progress& p = *made;
-    p.owner_ = this;
-    p.server_id_ = server_id;
-    p.fd_ = begin_connect(to);
-    if (p.fd_ < 0)
-        return handlers_.probed_(server_id, false);
-    probes_.emplace(&p, std::move(made));
-    p.connecting_ = watch_fd(
-        p.fd_, static_cast<GIOCondition>(G_IO_OUT | G_IO_ERR | G_IO_HUP),
-        [](gint fd, GIOCondition, gpointer data) -> gboolean
-        {
-            probe_in_progress& ready = *static_cast<probe_in_progress*>(data);
-            ready.owner_->end_probe(ready, is_connected(fd));
-            return G_SOURCE_REMOVE;
-        },
-        &p);
-    p.timer_ = make_timer([&p] { p.owner_->end_probe(p, false); });
-    set_timer_due(p.timer_, read_clocks().now_ + connect_timeout);
-}
-
-void backend_client::end_probe(probe_in_progress& p, bool alive)
-{
-    auto const known = probes_.find(&p);
-    if (known == probes_.end())
-        return;
-    p.connecting_.reset();
-    p.timer_.reset();
-    close_fd(std::exchange(p.fd_, -1));
-    std::string const server_id = p.server_id_;
-    ended_.push_back(std::move(known->second));
-    probes_.erase(known);
-    collect_.ask();
-    handlers_.probed_(server_id, alive);
+    prober_.probe(server_id, to);
 }
 
 } // namespace jackdawhall::loop
--- a/packages/loop/jackdawhall/loop/backend_client.hpp
+++ b/packages/loop/jackdawhall/loop/backend_client.hpp
@@ -21,6 +21,7 @@
 
 #include <jackdawhall/loop/later.hpp>
 #include <jackdawhall/loop/memory_budget.hpp>
+#include <jackdawhall/loop/server_prober.hpp>
 #include <jackdawhall/model.hpp>
 
 namespace jackdawhall::loop
@@ -91,7 +92,6 @@
 
 private:
     struct connection;
-    struct probe_in_progress;
 
     static bool has_failed(connection const& c, std::size_t id_hash);
     connection* take_kept(endpoint const& to, std::size_t id_hash);
@@ -111,18 +111,16 @@
     void forget_unheard(endpoint const& to, instant since);
     void finish(connection& c, backend_result result);
     void drop(connection& c);
-    void end_probe(probe_in_progress& p, bool alive);
     void collect();
 
     backend_handlers handlers_;
+    server_prober prober_;
     budget_ptr budget_;
     std::map<connection*, std::unique_ptr<connection>> connections_;
     std::map<std::uint64_t, connection*> runs_;
     // Idle connections; the one used last is at the end.
     std::map<endpoint, std::vector<connection*>> kept_;
-    std::map<probe_in_progress*, std::unique_ptr<probe_in_progress>> probes_;
     std::vector<std::unique_ptr<connection>> closed_;
-    std::vector<std::unique_ptr<probe_in_progress>> ended_;
     later collect_{[this] { collect(); }};
 };
 
