Ask for a payment's outcome again when the question was not sent

What callers saw: 409 `already_claimed` (may-have-run) at once for a resend of a payment in progress at another daemon, though that one was sound and would have told the outcome: one question that could not be sent, as within 200 ms after a connection that was not made, ended the wait.

Cause: a message that was not sent was taken for the end of the claim's holder. A lost link was asked about again, a question that never left was not.

Now it is asked again every 250 ms, until the holder has been out of reach for 1 s, as a gate of a forward is. A link that ended shows that there was one, and the count of that second begins anew. What stays: an answer that the holder could not send is asked for again only when a link ends.

Before, correctness/outcome_not_sent: outcome_not_sent.cpp:30: FAILED: CHECK( entry.made<answer_caller>().empty() ) outcome_not_sent.cpp:32: FAILED: CHECK( entry.sent<outcome_request>().size() == 1 ) After: passed (4 assertions, with one more case: 1 s out of reach); frozen_gate (132 assertions in 15 cases) too. Compiled without optimisation; the tests on the fleet in memory (claims_once, outcome_awaited) were not run.

--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -94,26 +94,6 @@
     return w;
 }
 
-working_state
-handle_outcome_response(working_state w, outcome_response const& r)
-{
-    state& s = *w.state_;
-    auto const held = std::find_if(
-        s.calls_.begin(), s.calls_.end(),
-        [&](auto const& c)
-        {
-            std::optional<open_outcome_request> const& asked =
-                c.second.outcome_request_;
-            return asked && asked->number_ == r.number_;
-        });
-    if (held == s.calls_.end())
-        return w;
-    entry_call c = std::move(held->second);
-    cancel_timer(s, c);
-    s.calls_.erase(held);
-    return finish_call(std::move(w), std::move(c), r.verdict_);
-}
-
 // An answer that took too much memory here was not sent, and its entry has no
 // reason to ask for it: it is told at once.
 void replace_withdrawn_answer(working_state& w, outgoing const& unsent)
@@ -136,9 +116,7 @@
 {
     if (outcome_request const* r =
             std::get_if<outcome_request>(&u.outgoing_.message_))
-        return handle_outcome_response(
-            std::move(w),
-            {r->number_, may_have_run{indeterminate_reason::already_claimed}});
+        return handle_outcome_request_not_sent(std::move(w), *r);
     host_name const& to = u.outgoing_.to_;
     if (forward_inquiry const* asked =
             std::get_if<forward_inquiry>(&u.outgoing_.message_))
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -253,6 +253,13 @@
 // Asks a daemon again, after a link with it ended, for the outcomes that calls
 // here wait for.
 working_state ask_outcomes_again(working_state w, host_name const& holder);
+// Ends a call that waited for the outcome of another run of its request.
+working_state
+handle_outcome_response(working_state w, outcome_response const& r);
+// Lets a call whose question for an outcome was not sent ask again. It ends
+// when the holder of the claim has been out of reach for long.
+working_state
+handle_outcome_request_not_sent(working_state w, outcome_request const& r);
 // Answers a daemon that requests the outcome of a claimed request: at once, or
 // when the call in progress here under that claim finishes. A question that is
 // asked again is answered again.
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -80,6 +80,7 @@
 {
     call_number number_ = 0;
     host_name holder_;
+    std::optional<instant> unsent_since_; // since when it could not be sent
     auto operator<=>(open_outcome_request const&) const = default;
 };
 
--- a/packages/calls/jackdawhall/calls/take_claim.cpp
+++ b/packages/calls/jackdawhall/calls/take_claim.cpp
@@ -13,6 +13,23 @@
 namespace
 {
 
+// A holder that can't be reached for this long has ended.
+constexpr duration holder_return_time = std::chrono::seconds(1);
+
+// The call that asked for an outcome with this number.
+std::map<call_number, entry_call>::iterator
+find_outcome_request(state& s, call_number number)
+{
+    return std::find_if(
+        s.calls_.begin(), s.calls_.end(),
+        [&](auto const& c)
+        {
+            std::optional<open_outcome_request> const& asked =
+                c.second.outcome_request_;
+            return asked && asked->number_ == number;
+        });
+}
+
 void send_claim(state const& s, effects& out, held_claim const& c)
 {
     out.push_back(send{
@@ -97,6 +114,9 @@
         return p;
     if (c.outcome_request_)
     {
+        p.effects_.push_back(send{
+            {c.outcome_request_->holder_,
+             outcome_request{c.outcome_request_->number_, c.claim_->id_}}});
         p.progress_ = waiting{};
         return p;
     }
@@ -137,14 +157,44 @@
 
 working_state ask_outcomes_again(working_state w, host_name const& holder)
 {
-    for (auto const& [number, c] : w.state_->calls_)
+    for (auto& [number, c] : w.state_->calls_)
     {
-        if (c.outcome_request_ && c.outcome_request_->holder_ == holder)
-            send_outcome_request(w, c);
+        if (!c.outcome_request_ || c.outcome_request_->holder_ != holder)
+            continue;
+        c.outcome_request_->unsent_since_.reset(); // there was a link
+        send_outcome_request(w, c);
     }
     return w;
 }
 
+working_state
+handle_outcome_request_not_sent(working_state w, outcome_request const& r)
+{
+    auto const held = find_outcome_request(*w.state_, r.number_);
+    if (held == w.state_->calls_.end())
+        return w;
+    entry_call& c = held->second;
+    std::optional<instant>& since = c.outcome_request_->unsent_since_;
+    since = since.value_or(w.at_.now_);
+    if (w.at_.now_ - *since >= holder_return_time)
+        return handle_outcome_response(
+            std::move(w),
+            {r.number_, may_have_run{indeterminate_reason::already_claimed}});
+    cancel_timer(*w.state_, c);
+    c.wake_at_ = w.at_.now_ + control_resend_interval;
+    schedule_timer(*w.state_, c);
+    return w;
+}
+
+working_state
+handle_outcome_response(working_state w, outcome_response const& r)
+{
+    auto const held = find_outcome_request(*w.state_, r.number_);
+    if (held == w.state_->calls_.end())
+        return w;
+    return finish_waiting_call(std::move(w), held->first, r.verdict_);
+}
+
 working_state
 answer_outcome(working_state w, outcome_request const& r, host_name const& from)
 {
