Count a withdrawn forward not against its server

A forward that yields its place in a queue, since the daemon holds too much, was not run through no fault of its server, but counted as a failure to connect: three of them set a sound server aside (found by review, by reading). It is now withdrawn as one that was not received is.

--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -130,6 +130,8 @@
         std::get_if<forward_request>(&u.outgoing_.message_);
     if (!f)
         return w; // other messages that need delivery are resent when due
+    if (u.withdrawn_)
+        return withdraw_forward(std::move(w), f->number_);
     auto const known = w.state_->call_of_forward_.find(f->number_);
     if (known == w.state_->call_of_forward_.end())
         return w;
