Acknowledge no deregistration that is not followed

A deregistration that names no process is not followed for 10 s after its server began anew, since it may be of the earlier process; it was acknowledged all the same, and an acknowledgement promises that the server gets no more work (found by review, by reading). It is now answered as not known to be in force (503), so that a server that does leave says so again. One that names an earlier process is acknowledged: that one is gone.

Test: earlier_lives checks that the server still takes work in that case; the answer itself is made by the front end and has no test.

--- a/packages/calls/jackdawhall/calls/pipeline.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline.hpp
@@ -16,6 +16,9 @@
 // Handles one input that arrived at `at`.
 node_step run(state s, input in, clock_reading at);
 
+// Whether a local backend server is known and not draining.
+bool takes_work(state const& s, std::string const& server_id);
+
 // Bytes of the copies of answers that the node keeps, and of queued requests.
 std::size_t held_bytes(state const& s);
 
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -62,6 +62,13 @@
 
 } // namespace
 
+bool takes_work(state const& s, std::string const& server_id)
+{
+    auto const known = s.local_servers_.find(server_id);
+    return known != s.local_servers_.end() &&
+           known->second.announcement_.state_ != server_state::draining;
+}
+
 working_state
 remove_server(working_state w, std::string const& server_id, refusal_reason why)
 {
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -113,6 +113,8 @@
     void infrastructure_request(std::uint64_t number, request r);
     void infrastructure_order(std::uint64_t number, request const& r);
     void answer_order(std::uint64_t number, platform::order& o);
+    void
+    take_deregistration(std::uint64_t number, calls::server_deregistered gone);
     void take_document(std::uint64_t number, document d);
     std::string document_text() const;
     bool is_ready() const;
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -116,13 +116,7 @@
                 orders_->answer(number, platform::to_announcer());
             },
             [&](calls::server_deregistered& g)
-            {
-                say(severity::info, part::calls, "backend server leaves",
-                    {{"server", g.server_id_},
-                     {"started", std::to_string(g.started_)}});
-                give(calls::input{std::move(g)});
-                orders_->answer(number, platform::to_announcer());
-            },
+            { take_deregistration(number, std::move(g)); },
             [&](document& d) { take_document(number, std::move(d)); },
             [&](platform::read_document&) {
                 orders_->answer(number, platform::to_operator(document_text()));
@@ -131,6 +125,24 @@
         o);
 }
 
+// An acknowledgement promises that the server gets no more work. One that names
+// no process, and may be of an earlier one, is left for its server to repeat.
+void daemon::take_deregistration(
+    std::uint64_t number, calls::server_deregistered gone)
+{
+    say(severity::info, part::calls, "backend server leaves",
+        {{"server", gone.server_id_},
+         {"started", std::to_string(gone.started_)}});
+    bool const names_process = gone.started_ != 0;
+    std::string const server_id = gone.server_id_;
+    give(calls::input{std::move(gone)});
+    if (!names_process && calls::takes_work(calls_, server_id))
+        return orders_->answer(
+            number, platform::to_operator(unknown_outcome{
+                        "it may be of an earlier process of the server"}));
+    orders_->answer(number, platform::to_announcer());
+}
+
 void daemon::take_document(std::uint64_t number, document d)
 {
     if (!control_)
--- a/test/correctness/earlier_lives.cpp
+++ b/test/correctness/earlier_lives.cpp
@@ -99,6 +99,7 @@
     gate.pass(5s);
     gate.give(server_deregistered{"a", named});
     CHECK(state_of(gate) == server_state::ready);
+    CHECK(takes_work(gate.state(), "a")); // so it is not acknowledged
     start_run(gate, 1);
 }
 
