Count the bodies of requests that wait for their answers, and give them back

The connection now counts it until the answer is made. When it is to yield, the call node is asked (give_back_request): a call that waits for its gate drops its copy and has no other try; one that was not forwarded is refused as overloaded, which is true, unless an earlier try may have run.

--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -56,6 +56,13 @@
     std::size_t bytes_ = 0;
     auto operator<=>(reduce_held_bytes const&) const = default;
 };
+// The daemon holds too much for others: the request of this caller is to be
+// given back, as far as its call can go on without.
+struct give_back_request
+{
+    std::uint64_t number_ = 0;
+    auto operator<=>(give_back_request const&) const = default;
+};
 // One of the links with a host ended. What was written to it may not have
 // arrived; the host and its other links may be sound.
 struct link_lost
@@ -145,7 +152,7 @@
     received, timer_expired, caller_request, caller_disconnected,
     caller_finished, message_not_sent, link_lost, run_finished, announcement,
     server_deregistered, probe_result, stop_requested, control_hosts_changed,
-    reduce_held_bytes>;
+    reduce_held_bytes, give_back_request>;
 
 // --- Effects ----------------------------------------------------------------
 
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -275,6 +275,8 @@
     state const& s, entry_call const& c, verdict const& v, bool shed,
     instant now)
 {
+    if (c.body_given_back_)
+        return std::nullopt;
     std::optional<retry_reason> const why = find_retry_reason(c, v, shed);
     bool const allowed =
         c.max_servers_reached_ != 0
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -272,6 +272,7 @@
             { w = set_control_hosts(std::move(w), n); },
             [&](reduce_held_bytes& r)
             { w = reduce_held(std::move(w), r.bytes_); },
+            [&](give_back_request& r) { w = give_back_body(std::move(w), r); },
             [&](stop_requested&) { w = begin_stop(std::move(w)); },
         },
         in);
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -200,6 +200,10 @@
 // that are past their deadline.
 working_state expire_runs(working_state w);
 
+// Drops the body of a caller's request if its call only waits for a gate, which
+// is then its last try; refuses the call otherwise.
+working_state give_back_body(working_state w, give_back_request const& asked);
+
 // Drops kept answers, oldest first, and then refuses queued runs, the least
 // important first, until the node holds `bytes` at most.
 working_state reduce_held(working_state w, std::size_t bytes);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -133,6 +133,7 @@
     std::uint32_t retries_left_ = 0;
     std::uint32_t tries_ = 0;
     std::uint32_t lost_tries_ = 0; // retried tries that may have run
+    bool body_given_back_ = false; // so that it can't be tried again
     std::vector<server_key> tried_servers_;
     std::optional<held_claim> claim_;
     std::optional<active_forward> forward_;
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -89,7 +89,9 @@
             give(calls::input{calls::caller_disconnected{number}});
         },
         [this](std::uint64_t number)
-        { give(calls::input{calls::caller_finished{number}}); }};
+        { give(calls::input{calls::caller_finished{number}}); },
+        [this](std::uint64_t number)
+        { give(calls::input{calls::give_back_request{number}}); }};
 }
 
 void daemon::caller_request(
--- a/packages/loop/jackdawhall/loop/held_bytes.cpp
+++ b/packages/loop/jackdawhall/loop/held_bytes.cpp
@@ -9,8 +9,9 @@
 {
 
 constexpr std::array<std::string_view, holding_kinds> kind_texts{
-    "backend_exchange", "request_in_progress", "unread_answer",
-    "peer_queue",       "frame_in_progress",   "kept_by_calls"};
+    "backend_exchange", "request_in_progress", "request_awaiting_answer",
+    "unread_answer",    "peer_queue",          "frame_in_progress",
+    "kept_by_calls"};
 
 // Changes what a party has, and its place among the parties.
 void change_party(
@@ -60,6 +61,8 @@
             { return backend_party{b.server_}; },
             [](request_in_progress const& r) -> party
             { return caller_party{r.caller_}; },
+            [](request_awaiting_answer const& r) -> party
+            { return caller_party{r.caller_}; },
             [](unread_answer const& u) -> party
             { return caller_party{u.caller_}; },
             [](peer_queue const& q) -> party { return peer_party{q.peer_}; },
--- a/packages/loop/jackdawhall/loop/held_bytes.hpp
+++ b/packages/loop/jackdawhall/loop/held_bytes.hpp
@@ -34,6 +34,12 @@
     std::string caller_; // address
     auto operator<=>(request_in_progress const&) const = default;
 };
+// A request that came in and waits for its answer.
+struct request_awaiting_answer
+{
+    std::string caller_; // address
+    auto operator<=>(request_awaiting_answer const&) const = default;
+};
 // An answer that its caller has not read.
 struct unread_answer
 {
@@ -58,8 +64,8 @@
     auto operator<=>(kept_by_calls const&) const = default;
 };
 using holding = std::variant<
-    backend_exchange, request_in_progress, unread_answer, peer_queue,
-    frame_in_progress, kept_by_calls>;
+    backend_exchange, request_in_progress, request_awaiting_answer,
+    unread_answer, peer_queue, frame_in_progress, kept_by_calls>;
 
 inline constexpr std::size_t holding_kinds = std::variant_size_v<holding>;
 
--- a/packages/loop/jackdawhall/loop/http_server.cpp
+++ b/packages/loop/jackdawhall/loop/http_server.cpp
@@ -55,9 +55,10 @@
     std::string remote_;
     phase phase_ = phase::reading;
     std::optional<request_parser> parser_;
-    std::size_t taken_ = 0;  // bytes of the request
-    bool began_ = false;     // the first byte of a request is there
-    bool continued_ = false; // 100 Continue was sent
+    std::size_t taken_ = 0;      // bytes of the request
+    std::size_t body_bytes_ = 0; // of the request that waits for its answer
+    bool began_ = false;         // the first byte of a request is there
+    bool continued_ = false;     // 100 Continue was sent
     std::uint64_t number_ = 0;
     std::string method_;
     bool keep_alive_ = true;
@@ -176,12 +177,15 @@
 }
 
 // Says what the connection holds, of a request that comes in or of an answer
-// that goes out. A request in progress is the call node's.
+// that goes out, or of the request that waits for its answer.
 void http_server::count(connection& c)
 {
     if (!c.share_)
         return;
     std::size_t const buffers = c.stream_->allocated();
+    if (c.phase_ == phase::answering)
+        return c.share_->set(
+            request_awaiting_answer{c.remote_}, buffers + c.body_bytes_);
     if (c.phase_ != phase::reading)
         return c.share_->set(unread_answer{c.remote_}, buffers);
     std::size_t const body = c.parser_->get().body().capacity();
@@ -201,7 +205,10 @@
     case phase::reading:
         return refuse(c, {503, {{"retry-after", give_up_retry_after}}, {}});
     case phase::answering:
-        return; // its bytes are few: max_early_bytes
+        c.body_bytes_ = 0;
+        if (handlers_.give_back_)
+            handlers_.give_back_(c.number_);
+        return;
     case phase::writing:
     case phase::lingering:
         c.stream_->reset();
@@ -255,6 +262,7 @@
     r.path_ = std::string(message.target());
     r.headers_ = headers_of(message.base());
     r.body_ = std::move(message.body());
+    c.body_bytes_ = r.body_.capacity();
     c.method_ = r.method_;
     c.number_ = ++last_number_;
     open_.emplace(c.number_, &c);
--- a/packages/loop/jackdawhall/loop/http_server.hpp
+++ b/packages/loop/jackdawhall/loop/http_server.hpp
@@ -39,6 +39,9 @@
     // The caller ended its sending side before it was answered. It may have
     // left, or wait for the answer; the request is still to be answered.
     std::function<void(std::uint64_t number)> finished_ = {};
+    // The process holds too much: the request is to be given back, as far as
+    // that is possible before it is answered.
+    std::function<void(std::uint64_t number)> give_back_ = {};
 };
 
 // Of all connections, for a server without a budget of its process.
