--- a/test/correctness/refusal_lost_at_exit.cpp
+++ b/test/correctness/refusal_lost_at_exit.cpp
@@ -42,7 +42,9 @@
         [note](host_name const&, std::string const&) { note("received"); },
         [note](host_name const&, std::uint64_t) { note("lost"); },
         [note](host_name const&, std::string const&) { note("undelivered"); },
-        [](std::string const&) {}, [] {}};
+        [note](host_name const&, std::string const&) { note("withdrawn"); },
+        [](std::string const&) {},
+        [] {}};
 }
 
 } // namespace
