Ask all control hosts to confirm the configuration while one's own does not

Cause: a daemon stayed 3.6 s with a control host that was cut off from the majority and still answered (its state may have been 2.1 s old, and 1.25 s more had to pass), and then tried the next one, which was cut off as well.

Change: a renewal that is answered from a state older than control_timeout_, or not at all, makes the daemon ask all other control hosts at once to confirm. It takes changes and the lease from each, and switches to the nearest that confirmed. It leaves no host that answers for one that is not known to be better, so that an election makes nobody move. Silent hosts are asked less often. Ruled out: that the next host is the right one to try (two of five may be cut off); luck in which are isolated (the test takes each pair beside the leader).

--- a/packages/calls/jackdawhall/calls/configuration.cpp
+++ b/packages/calls/jackdawhall/calls/configuration.cpp
@@ -142,13 +142,10 @@
 }
 
 configuration
-extend_lease(configuration c, renewal_response const& answer, duration lease)
+extend_lease(configuration c, confirmation const& by, duration lease)
 {
-    if (!answer.confirmed_)
-        return c;
     duration const length = lease - lease / clock_drift_divisor;
-    instant const until =
-        instant{duration{answer.stamp_}} - answer.age_ + length;
+    instant const until = by.sent_at_ - by.age_ + length;
     if (!c.fresh_until_ || *c.fresh_until_ < until)
         c.fresh_until_ = until;
     return c;
--- a/packages/calls/jackdawhall/calls/configuration.hpp
+++ b/packages/calls/jackdawhall/calls/configuration.hpp
@@ -83,12 +83,19 @@
 // partial one that starts after the current revision.
 configuration apply_update(configuration c, configuration_update const& update);
 
-// Extends the lease from a confirmed renewal answer. The control host's state
-// was complete `age_` before it answered, and it answered after this daemon
-// sent `stamp_`, so the lease counts from `stamp_` less `age_`. It is
-// shortened by the maximum clock drift.
+// A control host's statement that its state was complete `age_` before it
+// answered a message that this daemon sent at `sent_at_`.
+struct confirmation
+{
+    instant sent_at_;
+    duration age_{0};
+    auto operator<=>(confirmation const&) const = default;
+};
+
+// Extends the lease, which counts from when the confirmed state was complete.
+// It is shortened by the maximum clock drift.
 configuration
-extend_lease(configuration c, renewal_response const& answer, duration lease);
+extend_lease(configuration c, confirmation const& by, duration lease);
 
 bool is_fresh(configuration const& c, instant now);
 
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -158,6 +158,10 @@
             { w = handle_forward_report(std::move(w), from, r); },
             [&](renewal_response& a)
             { w = handle_renewal_response(std::move(w), from, std::move(a)); },
+            [&](confirmation_response& a) {
+                w = handle_confirmation_response(
+                    std::move(w), from, std::move(a));
+            },
             [&](configuration_update& u)
             { w = handle_configuration_update(std::move(w), u); },
             [&](grant_response& r)
@@ -290,6 +294,7 @@
     made.configuration_.newest_schema_ = made.settings_.newest_schema_;
     made.control_.renewal_due_ = now;
     made.control_.last_answer_at_ = now;
+    made.control_.last_heard_at_ = now;
     made.control_.hosts_ = made.settings_.control_hosts_;
     return made;
 }
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -214,14 +214,16 @@
 working_state expire_announcements(working_state w);
 // Subscribes to the list of backend servers of a service.
 void subscribe_to_service(state& s, service_name const& service, instant now);
-// Sends a renewal of the freshness lease when due, and switches to another
-// control host when the current one is unresponsive or isolated.
+// Sends a renewal of the freshness lease when due.
 working_state send_renewal(working_state w);
+working_state handle_confirmation_response(
+    working_state w, host_name const& from, confirmation_response a);
 
 working_state
 handle_configuration_update(working_state w, configuration_update const& u);
 // Logs when the freshness lease expires or is acquired again.
 working_state track_lease(working_state w);
+working_state renew_lease(working_state w, confirmation const& by);
 working_state handle_renewal_response(
     working_state w, host_name const& from, renewal_response a);
 // Marks a server that shuts down as draining: it gets no new runs, and its runs
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -1,6 +1,7 @@
 // Exchange with the control hosts: sends the announcements of the local backend
 // servers, receives configuration and membership, and renews the freshness
 // lease.
+#include <jackdawhall/calls/choose_control_host.hpp>
 #include <jackdawhall/calls/gate_run.hpp>
 
 #include <algorithm>
@@ -11,12 +12,6 @@
 namespace
 {
 
-// A control host whose state is older than this is treated as unresponsive.
-duration max_control_state_age(settings const& s)
-{
-    return s.control_timeout_ * 5 / 3;
-}
-
 backend_server make_backend_server(state const& s, announcement const& a)
 {
     settings const& here = s.settings_;
@@ -51,86 +46,6 @@
     return r;
 }
 
-void switch_control_host(control_link& link, std::size_t index, instant now)
-{
-    link.current_ = index;
-    link.switched_at_ = now;
-    link.last_answer_at_ = now;
-    link.membership_version_ = 0;
-}
-
-void leave_unresponsive_control_host(working_state& w)
-{
-    control_link& link = w.state_->control_;
-    instant const now = w.at_.now_;
-    if (now - link.last_answer_at_ < w.state_->settings_.control_timeout_)
-        return;
-    host_name const left = link.hosts_.at(link.current_);
-    switch_control_host(link, (link.current_ + 1) % link.hosts_.size(), now);
-    w.effects_.push_back(log_message{
-        "control host unresponsive or isolated; switching to another",
-        {{"host", left.str()},
-         {"goes_on_with", link.hosts_.at(link.current_).str()},
-         {"revision", std::to_string(w.state_->configuration_.revision_)}}});
-}
-
-// 0: same availability zone; 1: same region; 2: other region.
-int distance(location const& here, location const& there)
-{
-    if (here == there)
-        return 0;
-    return here.region_ == there.region_ ? 1 : 2;
-}
-
-// Replaces the control hosts by those in an answer, sorted by distance. The
-// hosts of the settings remain at the end as a last resort.
-void update_control_hosts(
-    state& s, std::vector<located_host> named, instant now)
-{
-    control_link& link = s.control_;
-    if (!s.settings_.discovers_control_hosts_ || named.empty())
-        return;
-    location const& here = s.settings_.location_;
-    // Rotates by the incarnation, so that daemons differ in their order of the
-    // hosts at equal distance.
-    std::rotate(
-        named.begin(),
-        named.begin() + static_cast<long>(s.incarnation_ % named.size()),
-        named.end());
-    std::stable_sort(
-        named.begin(), named.end(),
-        [&](located_host const& left, located_host const& right) {
-            return distance(here, left.location_) <
-                   distance(here, right.location_);
-        });
-    host_name const current = link.hosts_.at(link.current_);
-    link.hosts_.clear();
-    for (located_host const& h : named)
-        link.hosts_.push_back(h.host_);
-    link.preferred_ = static_cast<std::size_t>(std::count_if(
-        named.begin(), named.end(),
-        [&](located_host const& h)
-        {
-            return distance(here, h.location_) ==
-                   distance(here, named.front().location_);
-        }));
-    for (host_name const& seed : s.settings_.control_hosts_)
-    {
-        if (std::find(link.hosts_.begin(), link.hosts_.end(), seed) ==
-            link.hosts_.end())
-            link.hosts_.push_back(seed);
-    }
-    auto const at = std::find(link.hosts_.begin(), link.hosts_.end(), current);
-    if (at == link.hosts_.end())
-        return switch_control_host(link, 0, now);
-    link.current_ = static_cast<std::size_t>(at - link.hosts_.begin());
-    bool const switches_back =
-        link.current_ >= link.preferred_ &&
-        now - link.switched_at_ >= control_failback_delay;
-    if (switches_back)
-        switch_control_host(link, 0, now);
-}
-
 // Keeps the statistics of servers with calls in flight, listed or not.
 void update_servers(state& s, service_servers const& update, instant now)
 {
@@ -257,6 +172,8 @@
     if (w.at_.now_ < s.control_.renewal_due_ || s.control_.hosts_.empty())
         return w;
     leave_unresponsive_control_host(w);
+    if (w.at_.now_ - s.control_.last_answer_at_ > s.settings_.renewal_interval_)
+        request_confirmations(w);
     s.control_.renewal_due_ = w.at_.now_ + s.settings_.renewal_interval_;
     s.control_.renewal_stamp_ = w.at_.now_.time_since_epoch().count();
     send_message(
@@ -299,6 +216,14 @@
     return w;
 }
 
+working_state renew_lease(working_state w, confirmation const& by)
+{
+    state& s = *w.state_;
+    s.configuration_ = extend_lease(
+        std::move(s.configuration_), by, s.settings_.freshness_lease_);
+    return track_lease(std::move(w));
+}
+
 working_state handle_renewal_response(
     working_state w, host_name const& from, renewal_response a)
 {
@@ -306,14 +231,15 @@
     if (a.incarnation_ != s.incarnation_)
         return w;
     w = handle_configuration_update(std::move(w), a.update_);
-    s.configuration_ = extend_lease(
-        std::move(s.configuration_), a, s.settings_.freshness_lease_);
-    w = track_lease(std::move(w));
-    if (s.control_.hosts_.empty() ||
-        from != s.control_.hosts_.at(s.control_.current_))
+    if (a.confirmed_)
+        w = renew_lease(std::move(w), {instant{duration{a.stamp_}}, a.age_});
+    if (!is_current_control_host(s.control_, from))
         return w;
-    if (a.confirmed_ && a.age_ < max_control_state_age(s.settings_))
+    s.control_.last_heard_at_ = w.at_.now_;
+    if (a.confirmed_ && is_recent(s.settings_, a.age_))
         s.control_.last_answer_at_ = w.at_.now_;
+    else
+        request_confirmations(w);
     if (!a.leader_.empty() && a.leader_ != s.control_.leader_)
     {
         w.effects_.push_back(log_message{
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -291,6 +291,15 @@
     instant switched_at_;          // when current_ last changed
     instant renewal_due_;
     // When the current control host last answered from a recent state, or when
+// What the daemon knows of a control host that it may switch to.
+struct alternate_control_host
+{
+    instant next_request_at_;             // earliest, for a confirmation
+    duration request_interval_{0};        // grows while the host is silent
+    std::optional<instant> confirmed_at_; // its last answer from a recent state
+    auto operator<=>(alternate_control_host const&) const = default;
+};
+
     // it became the current one.
     instant last_answer_at_;
     host_name leader_;
@@ -301,6 +310,9 @@
 };
 
 // Verdict of a non-repeatable request, kept for resends.
+    // When the current control host last answered, from whatever state.
+    instant last_heard_at_;
+    std::map<host_name, alternate_control_host> alternates_;
 struct recent_verdict
 {
     verdict verdict_;
--- a/packages/control/jackdawhall/control/distribute_configuration.cpp
+++ b/packages/control/jackdawhall/control/distribute_configuration.cpp
@@ -22,6 +22,20 @@
     return {std::move(state), std::move(answer)};
 }
 
+confirmation_response confirm_configuration(
+    state_machine const& m, confirmation_request const& r,
+    replica_status const& status)
+{
+    confirmation_response answer;
+    answer.incarnation_ = r.incarnation_;
+    answer.stamp_ = r.stamp_;
+    answer.confirmed_ = status.age_.has_value();
+    answer.age_ = status.age_.value_or(duration{0});
+    if (r.known_revision_ <= m.revision_)
+        answer.update_ = update_since(m, r.known_revision_);
+    return answer;
+}
+
 distribution_step
 push_changes(distribution state, state_machine const& m, instant now)
 {
--- a/packages/control/jackdawhall/control/distribute_configuration.hpp
+++ b/packages/control/jackdawhall/control/distribute_configuration.hpp
@@ -53,6 +53,11 @@
     distribution state, state_machine const& m, renewal_request const& r,
     replica_status const& status, instant now);
 
+// Answers a daemon that is attached elsewhere.
+confirmation_response confirm_configuration(
+    state_machine const& m, confirmation_request const& r,
+    replica_status const& status);
+
 // Pushes a new revision to every live subscriber that lacks it.
 distribution_step
 push_changes(distribution state, state_machine const& m, instant now);
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -13,16 +13,20 @@
     std::move(more.begin(), more.end(), std::back_inserter(p.effects_));
 }
 
+replica_status status_of(state const& s, instant now)
+{
+    return {
+        state_age(s.consensus_, now),
+        leader_of(s.consensus_).value_or(host_name{})};
+}
+
 void answer_renewal(pipeline_context& p, renewal_request const& r)
 {
     state& s = p.state_;
     instant const now = p.at_.now_;
     s.membership_ = apply_announcement(std::move(s.membership_), r, now);
-    replica_status const status{
-        state_age(s.consensus_, now),
-        leader_of(s.consensus_).value_or(host_name{})};
-    auto [renewed, answer] =
-        renew_lease(std::move(s.distribution_), s.machine_, r, status, now);
+    auto [renewed, answer] = renew_lease(
+        std::move(s.distribution_), s.machine_, r, status_of(s, now), now);
     s.distribution_ = std::move(renewed);
     answer.membership_version_ = s.membership_.version_;
     answer.services_ = changed_services(s.membership_, r);
@@ -74,6 +78,11 @@
     if (membership_report const* r = received_message<membership_report>(p))
         step = apply_report(std::move(m), *r, p.at_.now_);
     else if (
+    if (confirmation_request const* r =
+            received_message<confirmation_request>(p))
+        p.effects_.push_back(send{
+            {r->host_,
+             confirm_configuration(s.machine_, *r, status_of(s, p.at_.now_))}});
         membership_request const* w = received_message<membership_request>(p))
         step = send_full_report(std::move(m), *w);
     else
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -48,6 +48,7 @@
     return std::visit(
         overloaded{
             [](renewal_response const&) { return false; },
+            [](confirmation_response const&) { return false; },
             [](configuration_update const&) { return false; },
             [](grant_response const&) { return false; },
             [](claim_response const&) { return false; },
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -178,6 +178,26 @@
     std::vector<account_demand> demand_; // of the daemons attached to it
     auto operator<=>(membership_report const&) const = default;
 };
+// Sent by a daemon to the other control hosts while its own does not confirm
+// the configuration. It neither attaches nor subscribes the daemon there.
+struct confirmation_request
+{
+    host_name host_;
+    std::uint64_t incarnation_ = 0; // of the daemon's run
+    std::int64_t stamp_ = 0;        // time of sending by its clock
+    revision known_revision_ = 0;
+    auto operator<=>(confirmation_request const&) const = default;
+};
+struct confirmation_response
+{
+    std::uint64_t incarnation_ = 0; // echoed
+    std::int64_t stamp_ = 0;        // echoed
+    duration age_{0}; // upper bound on the age of the control host's state
+    bool confirmed_ = false; // age_ is known
+    configuration_update update_;
+    auto operator<=>(confirmation_response const&) const = default;
+};
+
 struct membership_request
 {
     host_name requester_;
@@ -429,7 +449,8 @@
     claim_released, outcome_request, outcome_response, change_request,
     change_response, forward_request, forward_response, cancel_forward,
     crash_report, control_host_list, document_request, forward_inquiry,
-    forward_report, resent_document>;
+    forward_report, resent_document, confirmation_request,
+    confirmation_response>;
 
 // A message to send.
 struct outgoing
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -162,6 +162,14 @@
     &renewal_response::leader_, &renewal_response::membership_version_,
     &renewal_response::services_, &renewal_response::control_hosts_,
     &renewal_response::daemons_)
+JACKDAWHALL_FIELDS(
+    confirmation_request, &confirmation_request::host_,
+    &confirmation_request::incarnation_, &confirmation_request::stamp_,
+    &confirmation_request::known_revision_)
+JACKDAWHALL_FIELDS(
+    confirmation_response, &confirmation_response::incarnation_,
+    &confirmation_response::stamp_, &confirmation_response::age_,
+    &confirmation_response::confirmed_, &confirmation_response::update_)
 JACKDAWHALL_FIELDS(
     membership_report, &membership_report::origin_,
     &membership_report::incarnation_, &membership_report::from_version_,
--- a/test/error/codec.cpp
+++ b/test/error/codec.cpp
@@ -62,6 +62,10 @@
             host,
             8,
             {}},
+        confirmation_request{host, 1, 2, 3},
+        confirmation_response{
+            1, 2, duration{3}, true,
+            configuration_update{0, 5, true, {route, unknown}, {}}},
         forward_request{
             9, name_literal<service_name>("plans"), "s", context, "f", r},
         a,
--- a/test/error/earlier_builds.cpp
+++ b/test/error/earlier_builds.cpp
@@ -109,6 +109,8 @@
     CHECK(index_of<document_request>() == 26);
     CHECK(index_of<forward_inquiry>() == 27);
     CHECK(index_of<forward_report>() == 28);
+    CHECK(index_of<confirmation_request>() == 30);
+    CHECK(index_of<confirmation_response>() == 31);
 }
 
 // An earlier build reads these as this one reads a message that was appended
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -113,6 +113,11 @@
     s.retries_ = options_.retries_;
     s.shutdown_periods_ = options_.shutdown_periods_;
     std::size_t const named = named_control_hosts();
+    if (options_.in_force_)
+    {
+        s.renewal_interval_ = *options_.in_force_ / 4;
+        s.control_timeout_ = *options_.in_force_ / 2;
+    }
     s.discovers_control_hosts_ = options_.control_seeds_ != 0;
     for (std::size_t k = 0; k < named; ++k)
         s.control_hosts_.push_back(host((i + k) % named));
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -93,6 +93,8 @@
     double clock_error_ = 0; // host clock rates deviate by at most this
     std::uint32_t retries_ = 3;
     calls::shutdown_periods shutdown_periods_;
+    // Within which a change must be in force; the daemons' defaults if empty.
+    std::optional<duration> in_force_;
 };
 
 struct backend_options
--- a/test/support/memory_network.cpp
+++ b/test/support/memory_network.cpp
@@ -12,6 +12,7 @@
 bool is_for_calls(message const& m)
 {
     return std::holds_alternative<renewal_response>(m) ||
+           std::holds_alternative<confirmation_response>(m) ||
            std::holds_alternative<configuration_update>(m) ||
            std::holds_alternative<grant_response>(m) ||
            std::holds_alternative<claim_response>(m) ||
