Send daemons the servers that changed instead of whole lists

Change: a control host keeps the version at which each server last changed, also of 256 removed ones a service, and sends what changed since the version that the daemon names. Versions are now named together with the run of their control host: a list of changes since a version of a former run would keep a server that had left meanwhile. Late answers don't put an older list in place of a newer one.

--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -42,58 +42,111 @@
             make_backend_server(s, local.second.announcement_));
     r.wanted_.assign(s.wanted_.begin(), s.wanted_.end());
     r.membership_version_ = s.control_.membership_version_;
+    r.membership_incarnation_ = s.control_.membership_incarnation_;
     r.demand_ = recent_demand(s, now);
     return r;
 }
 
+bool is_listed(
+    std::vector<backend_server> const& servers, server_key const& key)
+{
+    return std::any_of(
+        servers.begin(), servers.end(),
+        [&](backend_server const& server) { return key_of(server) == key; });
+}
+
+// The servers of a service after an update.
+std::vector<backend_server>
+updated_list(std::vector<backend_server> known, service_servers const& update)
+{
+    if (!update.partial_)
+        return update.servers_;
+    std::erase_if(
+        known,
+        [&](backend_server const& server)
+        {
+            listed_server const name{server.host_, server.id_};
+            return is_listed(update.servers_, key_of(server)) ||
+                   std::find(
+                       update.removed_.begin(), update.removed_.end(), name) !=
+                       update.removed_.end();
+        });
+    known.insert(known.end(), update.servers_.begin(), update.servers_.end());
+    return known;
+}
+
 // Keeps the statistics of servers with calls in flight, listed or not.
 void update_servers(state& s, service_servers const& update, instant now)
 {
+    // The servers in the first list that this daemon receives of a service are
+    // not treated as new, and get no warm-up.
+    bool const first_list = !s.servers_.contains(update.service_);
     for (backend_server const& server : update.servers_)
     {
         auto const [known, inserted] =
             s.server_stats_.try_emplace(key_of(server));
-        if (!inserted)
-            continue;
-        // The servers in the first list that this daemon receives of a service
-        // are not treated as new, and get no warm-up.
-        bool const first_list = !s.servers_.contains(update.service_);
-        known->second.known_since_ = first_list ? now - warm_up_period : now;
+        if (inserted)
+            known->second.known_since_ =
+                first_list ? now - warm_up_period : now;
     }
-    for (backend_server const& old : s.servers_[update.service_])
+    std::vector<backend_server>& servers = s.servers_[update.service_];
+    std::vector<backend_server> const before = std::move(servers);
+    servers = updated_list(before, update);
+    for (backend_server const& old : before)
     {
-        bool const still_listed = std::any_of(
-            update.servers_.begin(), update.servers_.end(),
-            [&](backend_server const& server)
-            { return key_of(server) == key_of(old); });
         auto const known = s.server_stats_.find(key_of(old));
-        if (!still_listed && known != s.server_stats_.end() &&
-            known->second.in_flight_ == 0)
+        if (known != s.server_stats_.end() && known->second.in_flight_ == 0 &&
+            !is_listed(servers, key_of(old)))
             s.server_stats_.erase(known);
     }
-    s.servers_.insert_or_assign(update.service_, update.servers_);
 }
 
 void log_servers(
-    working_state& w, service_servers const& update, std::uint64_t version)
+    working_state& w, service_servers const& update, std::uint64_t version,
+    std::size_t before)
 {
-    state const& s = *w.state_;
-    auto const known = s.servers_.find(update.service_);
-    std::size_t const before =
-        known == s.servers_.end() ? 0 : known->second.size();
+    std::vector<backend_server> const& servers =
+        w.state_->servers_.at(update.service_);
     auto const draining = std::count_if(
-        update.servers_.begin(), update.servers_.end(),
+        servers.begin(), servers.end(),
         [](backend_server const& server)
         { return server.state_ == server_state::draining; });
     w.effects_.push_back(log_message{
         "backend server list updated",
         {{"service", update.service_.str()},
-         {"servers", std::to_string(update.servers_.size())},
+         {"servers", std::to_string(servers.size())},
          {"before", std::to_string(before)},
+         {"changed", std::to_string(update.servers_.size())},
          {"draining", std::to_string(draining)},
          {"version", std::to_string(version)}}});
 }
 
+// Takes the lists of servers, unless a later answer of the same run of the
+// control host was taken before.
+void take_membership(working_state& w, renewal_response const& a)
+{
+    state& s = *w.state_;
+    control_link& link = s.control_;
+    bool const same_run =
+        link.membership_incarnation_ == a.membership_incarnation_;
+    if (same_run && a.membership_version_ < link.membership_version_)
+        return;
+    if (a.stamp_ == link.renewal_stamp_)
+    {
+        link.membership_version_ = a.membership_version_;
+        link.membership_incarnation_ = a.membership_incarnation_;
+    }
+    for (service_servers const& update : a.services_)
+    {
+        auto const known = s.servers_.find(update.service_);
+        std::size_t const before =
+            known == s.servers_.end() ? 0 : known->second.size();
+        update_servers(s, update, w.at_.now_);
+        log_servers(w, update, a.membership_version_, before);
+    }
+    s.daemons_ = a.daemons_;
+}
+
 void log_announcement(working_state& w, announcement const& a)
 {
     w.effects_.push_back(log_message{
@@ -249,14 +302,7 @@
              {"from", from.str()}}});
         s.control_.leader_ = a.leader_;
     }
-    if (a.stamp_ == s.control_.renewal_stamp_)
-        s.control_.membership_version_ = a.membership_version_;
-    for (service_servers const& update : a.services_)
-    {
-        log_servers(w, update, a.membership_version_);
-        update_servers(s, update, w.at_.now_);
-    }
-    s.daemons_ = a.daemons_;
+    take_membership(w, a);
     update_control_hosts(s, std::move(a.control_hosts_), w.at_.now_);
     return w;
 }
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -315,6 +315,7 @@
     std::map<host_name, alternate_control_host> alternates_;
 struct recent_verdict
 {
+    std::uint64_t membership_incarnation_ = 0; // of the control host's run
     verdict verdict_;
     std::string body_hash_;
     instant until_;
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -29,6 +29,7 @@
         std::move(s.distribution_), s.machine_, r, status_of(s, now), now);
     s.distribution_ = std::move(renewed);
     answer.membership_version_ = s.membership_.version_;
+    answer.membership_incarnation_ = s.membership_.incarnation_;
     answer.services_ = changed_services(s.membership_, r);
     answer.control_hosts_ = live_control_hosts(s.membership_, now);
     answer.daemons_ = count_daemons(s.membership_, now);
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -13,6 +13,34 @@
     return {server.host_, server.id_};
 }
 
+// Forgets removed servers beyond max_removed_servers, oldest first.
+void forget_removed_servers(service_members& members)
+{
+    while (members.changed_.size() >
+           members.servers_.size() + max_removed_servers)
+    {
+        auto oldest = members.changed_.end();
+        for (auto i = members.changed_.begin(); i != members.changed_.end();
+             ++i)
+        {
+            bool const removed = !members.servers_.contains(i->first);
+            if (removed && (oldest == members.changed_.end() ||
+                            i->second < oldest->second))
+                oldest = i;
+        }
+        members.forgotten_version_ =
+            std::max(members.forgotten_version_, oldest->second);
+        members.changed_.erase(oldest);
+    }
+}
+
+void mark_changed(membership& m, service_members& members, server_key key)
+{
+    members.version_ = ++m.version_;
+    members.changed_.insert_or_assign(std::move(key), members.version_);
+    forget_removed_servers(members);
+}
+
 void upsert_server(
     membership& m, host_name const& reporter, backend_server const& server)
 {
@@ -23,7 +51,7 @@
     if (held != known.end() && held->second == server)
         return;
     known.insert_or_assign(reporter, server);
-    members.version_ = ++m.version_;
+    mark_changed(m, members, key_of(server));
 }
 
 void remove_server(
@@ -38,7 +66,7 @@
     known->second.erase(reporter);
     if (known->second.empty())
         service->second.servers_.erase(known);
-    service->second.version_ = ++m.version_;
+    mark_changed(m, service->second, key_of(server));
 }
 
 // Replaces the servers announced by one attached daemon.
@@ -200,6 +228,37 @@
 
 } // namespace
 
+namespace
+{
+
+// This host's own description of a server, or that of another one.
+backend_server const& description_of(
+    membership const& m, std::map<host_name, backend_server> const& reported)
+{
+    auto const own = reported.find(m.self_);
+    return own != reported.end() ? own->second : reported.begin()->second;
+}
+
+service_servers servers_changed_since(
+    membership const& m, service_name const& service, std::uint64_t version)
+{
+    service_members const& members = m.services_.at(service);
+    service_servers changed{service, {}, true, {}};
+    for (auto const& [key, at] : members.changed_)
+    {
+        if (at <= version)
+            continue;
+        auto const present = members.servers_.find(key);
+        if (present == members.servers_.end())
+            changed.removed_.push_back({key.first, key.second});
+        else
+            changed.servers_.push_back(description_of(m, present->second));
+    }
+    return changed;
+}
+
+} // namespace
+
 membership
 apply_announcement(membership state, renewal_request const& r, instant now)
 {
@@ -215,15 +274,21 @@
 std::vector<service_servers>
 changed_services(membership const& state, renewal_request const& r)
 {
+    bool const same_run = r.membership_incarnation_ == state.incarnation_ &&
+                          r.membership_version_ <= state.version_;
+    std::uint64_t const known = same_run ? r.membership_version_ : 0;
     std::vector<service_servers> changed;
     for (service_name const& wanted : r.wanted_)
     {
         auto const service = state.services_.find(wanted);
-        bool const is_new = service != state.services_.end() &&
-                            (service->second.version_ > r.membership_version_ ||
-                             r.membership_version_ > state.version_);
-        if (is_new)
-            changed.push_back({wanted, servers_of(state, wanted)});
+        if (service == state.services_.end() ||
+            service->second.version_ <= known)
+            continue;
+        bool const partial =
+            known != 0 && known >= service->second.forgotten_version_;
+        changed.push_back(
+            partial ? servers_changed_since(state, wanted, known)
+                    : service_servers{wanted, servers_of(state, wanted)});
     }
     return changed;
 }
@@ -341,12 +406,7 @@
     if (known == state.services_.end())
         return servers;
     for (auto const& server : known->second.servers_)
-    {
-        auto const own = server.second.find(state.self_);
-        servers.push_back(
-            own != server.second.end() ? own->second
-                                       : server.second.begin()->second);
-    }
+        servers.push_back(description_of(state, server.second));
     return servers;
 }
 
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -53,12 +53,20 @@
     auto operator<=>(peer_control_host const&) const = default;
 };
 
+// Removed servers that are remembered for each service, so that daemons can be
+// told of them.
+inline constexpr std::size_t max_removed_servers = 256;
+
 // Servers of one service, and for each server its description as reported by
 // each control host.
 struct service_members
 {
     std::uint64_t version_ = 0; // membership::version_ at the last change
     std::map<server_key, std::map<host_name, backend_server>> servers_;
+    // membership::version_ at the last change of each server, also of those
+    // removed after forgotten_version_.
+    std::map<server_key, std::uint64_t> changed_;
+    std::uint64_t forgotten_version_ = 0;
     auto operator<=>(service_members const&) const = default;
 };
 
@@ -93,8 +101,11 @@
 apply_announcement(membership state, renewal_request const& r, instant now);
 
 // Services that the daemon calls and that changed since its membership version,
-// each with all its servers; every service that it calls, if its version is
-// newer than this host's.
+// each with the servers that changed. Every service that it calls, with all its
+// servers, if its version is none of this run of the host.
+//
+// Load pattern: many daemons that renew while servers come and go one by one,
+// as in a release or after the restart of a control host.
 std::vector<service_servers>
 changed_services(membership const& state, renewal_request const& r);
 
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -138,13 +138,27 @@
     std::vector<service_name> wanted_; // services that the daemon calls
     std::uint64_t membership_version_ = 0;
     std::vector<account_demand> demand_;
+    // Run of the control host that membership_version_ counts in; 0: unknown.
+    std::uint64_t membership_incarnation_ = 0;
     auto operator<=>(renewal_request const&) const = default;
 };
 
+// A server among those of its service.
+struct listed_server
+{
+    host_name host_;
+    std::string id_;
+    auto operator<=>(listed_server const&) const = default;
+};
+
+// All backend servers of a service, or those that changed since the version
+// that the daemon named.
 struct service_servers
 {
     service_name service_;
     std::vector<backend_server> servers_;
+    bool partial_ = false;
+    std::vector<listed_server> removed_; // of a partial list
     auto operator<=>(service_servers const&) const = default;
 };
 
@@ -160,6 +174,7 @@
     std::vector<service_servers> services_; // those that changed
     std::vector<located_host> control_hosts_;
     std::int64_t daemons_ = 0; // total number of daemons seen recently
+    std::uint64_t membership_incarnation_ = 0;
     auto operator<=>(renewal_response const&) const = default;
 };
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -152,16 +152,19 @@
     &renewal_request::stamp_, &renewal_request::known_revision_,
     &renewal_request::newest_schema_, &renewal_request::location_,
     &renewal_request::servers_, &renewal_request::wanted_,
-    &renewal_request::membership_version_, &renewal_request::demand_)
+    &renewal_request::membership_version_, &renewal_request::demand_,
+    &renewal_request::membership_incarnation_)
+JACKDAWHALL_FIELDS(listed_server, &listed_server::host_, &listed_server::id_)
 JACKDAWHALL_FIELDS(
-    service_servers, &service_servers::service_, &service_servers::servers_)
+    service_servers, &service_servers::service_, &service_servers::servers_,
+    &service_servers::partial_, &service_servers::removed_)
 JACKDAWHALL_FIELDS(
     renewal_response, &renewal_response::incarnation_,
     &renewal_response::stamp_, &renewal_response::age_,
     &renewal_response::confirmed_, &renewal_response::update_,
     &renewal_response::leader_, &renewal_response::membership_version_,
     &renewal_response::services_, &renewal_response::control_hosts_,
-    &renewal_response::daemons_)
+    &renewal_response::daemons_, &renewal_response::membership_incarnation_)
 JACKDAWHALL_FIELDS(
     confirmation_request, &confirmation_request::host_,
     &confirmation_request::incarnation_, &confirmation_request::stamp_,
