Let small accounts find their tokens at whichever control host holds them

Cause: 90 accounts of a few requests a second, whose rate is split over five control hosts by demand. Simulated as independent arrivals, an account of 7.2 a second at 0.8 of its rate has 10 % refused, one of 3 a second 18 %: the requests of any moment reach the hosts unevenly, while 28 of the 68 requests that a window allows are never used.

Change: part of the tolerance is given out as rate, and bursts have fractions; a daemon whose control host has no token asks two others before it refuses, and pauses that for a second once all had none. Each host still enforces its part.

--- a/packages/calls/jackdawhall/calls/settings.hpp
+++ b/packages/calls/jackdawhall/calls/settings.hpp
@@ -34,6 +34,10 @@
 inline constexpr duration max_shared_token_wait =
     std::chrono::milliseconds(120);
 inline constexpr int shared_token_wait_divisor = 8;
+// Other control hosts that are asked for tokens of a shared rate when the
+// current one has none, and for how long none is asked once all had none.
+inline constexpr std::size_t max_other_token_hosts = 2;
+inline constexpr duration other_token_hosts_pause = std::chrono::seconds(1);
 // Longest wait otherwise: no control host allocates tokens, or the last request
 // was not answered.
 inline constexpr duration max_allocator_wait = std::chrono::seconds(4);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -181,6 +181,11 @@
     // Whether a control host that allocates tokens answered the last request.
     bool allocated_ = false;
     // Demand: calls in the current and the last prefetch window.
+    // Of a shared rate: other control hosts asked since the current one had no
+    // token, and the shortest time after which one of them will have.
+    std::size_t others_asked_ = 0;
+    duration shortest_retry_after_{0};
+    instant others_empty_until_; // no other control host is asked before
     instant window_ends_;
     std::int64_t window_calls_ = 0;
     std::int64_t last_window_calls_ = 0;
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -77,16 +77,31 @@
     return reports;
 }
 
-// Returns the control host that grants tokens of the account: the current one
-// for a shared rate, otherwise the leader.
-host_name token_host(state const& s, account_name const& account)
+// Returns the control host that grants tokens of the account: for a shared
+// rate the current one, or one after it once that had none; otherwise the
+// leader.
+host_name
+token_host(state const& s, account_name const& account, token_pool const& h)
 {
     control_link const& link = s.control_;
     if (has_shared_rate(s, account) && !link.hosts_.empty())
-        return link.hosts_.at(link.current_);
+        return link.hosts_.at(
+            (link.current_ + h.others_asked_) % link.hosts_.size());
     return leader_host(s);
 }
 
+// Whether a control host that has no token of a shared rate leaves another one
+// to ask.
+//
+// Load pattern: accounts of a few requests per second, whose tokens lie with
+// one control host while their requests come by way of another.
+bool may_ask_another(state const& s, token_pool const& h, instant now)
+{
+    return h.others_asked_ < max_other_token_hosts &&
+           h.others_asked_ + 1 < s.control_.hosts_.size() &&
+           now >= h.others_empty_until_;
+}
+
 std::vector<ranked_calls> waiting_by_rank(token_pool const& h)
 {
     std::map<rank, std::int64_t> counts;
@@ -121,7 +136,11 @@
     if (!report_only)
     {
         if (h.pending_request_ != 0)
-            h.allocated_ = false; // the previous request was not answered
+        {
+            // The previous request was not answered.
+            h.allocated_ = false;
+            h.others_asked_ = 0;
+        }
         r.number_ = next_number(s);
         r.waiting_ = static_cast<std::int64_t>(h.waiting_.size());
         r.waiting_by_rank_ = waiting_by_rank(h);
@@ -134,7 +153,7 @@
         h.next_request_at_ = w.at_.now_ + control_resend_interval;
     }
     if (!report_only || !r.reports_.empty())
-        send_message(w, token_host(s, account), std::move(r));
+        send_message(w, token_host(s, account, h), std::move(r));
 }
 
 bool requested_recently(token_pool const& h, instant now)
@@ -293,6 +312,61 @@
     return p;
 }
 
+namespace
+{
+
+void take_grant(token_pool& h, grant_response const& r, instant now)
+{
+    duration const length = r.length_ - r.length_ / clock_drift_divisor;
+    h.grants_.push_back({r.grant_, r.tokens_, h.requested_at_ + length, false});
+    h.next_request_at_ = now;
+    h.others_asked_ = 0;
+}
+
+// Asks the next control host for tokens of a shared rate that the last one did
+// not have. Returns false if there is none to ask.
+bool ask_another(working_state& w, token_pool& h, grant_response const& r)
+{
+    h.shortest_retry_after_ =
+        h.others_asked_ == 0
+            ? r.retry_after_
+            : std::min(h.shortest_retry_after_, r.retry_after_);
+    if (!may_ask_another(*w.state_, h, w.at_.now_) || h.waiting_.empty())
+        return false;
+    ++h.others_asked_;
+    send_grant_request(w, r.account_, h, false);
+    return true;
+}
+
+// No control host that was asked has a token. The waiting calls go on waiting
+// if one will have in time, and are refused otherwise.
+working_state
+handle_exhausted(working_state w, token_pool& h, grant_response const& r)
+{
+    bool const shared = has_shared_rate(*w.state_, r.account_);
+    duration const max_retry_after =
+        shared ? max_shared_token_wait : max_token_wait;
+    if (shared && ask_another(w, h, r))
+        return w;
+    duration const retry_after =
+        shared ? h.shortest_retry_after_ : r.retry_after_;
+    if (std::exchange(h.others_asked_, 0) > 0)
+        h.others_empty_until_ = w.at_.now_ + other_token_hosts_pause;
+    if (retry_after > max_retry_after)
+    {
+        h.next_request_at_ = w.at_.now_ + max_retry_after;
+        refuse_waiting(w, r.account_, retry_after);
+        return w;
+    }
+    h.next_request_at_ = w.at_.now_ + retry_after;
+    std::vector<ranked_calls> const waiting = waiting_by_rank(h);
+    if (!waiting.empty() && waiting.front().rank_ < h.requested_rank_)
+        send_grant_request(w, r.account_, h, false);
+    return w;
+}
+
+} // namespace
+
 working_state handle_grant_response(working_state w, grant_response const& r)
 {
     auto const known = w.state_->token_pools_.find(r.account_);
@@ -302,32 +376,19 @@
         return w;
     token_pool& h = known->second;
     h.pending_request_ = 0;
-    bool const exhausted = r.result_ == grant_result::exhausted;
     h.allocated_ = r.result_ != grant_result::unavailable;
-    if (r.result_ == grant_result::granted)
+    switch (r.result_)
     {
-        duration const length = r.length_ - r.length_ / clock_drift_divisor;
-        h.grants_.push_back(
-            {r.grant_, r.tokens_, h.requested_at_ + length, false});
-        h.next_request_at_ = w.at_.now_;
+    case grant_result::granted:
+        take_grant(h, r, w.at_.now_);
         resume_waiting(w, r.account_);
         return w;
-    }
-    duration const max_retry_after = has_shared_rate(*w.state_, r.account_)
-                                         ? max_shared_token_wait
-                                         : max_token_wait;
-    if (exhausted && r.retry_after_ > max_retry_after)
-    {
-        h.next_request_at_ = w.at_.now_ + max_retry_after;
-        refuse_waiting(w, r.account_, r.retry_after_);
+    case grant_result::exhausted:
+        return handle_exhausted(std::move(w), h, r);
+    case grant_result::unavailable:
+        h.next_request_at_ = w.at_.now_ + control_resend_interval;
         return w;
     }
-    h.next_request_at_ =
-        w.at_.now_ + (exhausted ? r.retry_after_ : control_resend_interval);
-    std::vector<ranked_calls> const waiting = waiting_by_rank(h);
-    if (exhausted && !waiting.empty() &&
-        waiting.front().rank_ < h.requested_rank_)
-        send_grant_request(w, r.account_, h, false);
     return w;
 }
 
--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -8,10 +8,18 @@
 namespace
 {
 
-void refill(bucket& b, account_limits const& limits, instant now)
+constexpr std::int64_t milli_token_unit = token_unit / 1000;
+
+bucket_limits whole_bucket(account_limits const& a)
+{
+    return {a.milli_rate_, a.burst_ * 1000};
+}
+
+void refill(bucket& b, bucket_limits const& limits, instant now)
 {
     std::int64_t const capacity = std::max<std::int64_t>(
-        0, (limits.burst_ - b.outstanding_) * token_unit);
+        0,
+        limits.milli_burst_ * milli_token_unit - b.outstanding_ * token_unit);
     std::int64_t const elapsed =
         std::max<std::int64_t>(0, (now - b.refilled_at_).count());
     std::int64_t const missing = capacity - b.level_;
@@ -27,7 +35,7 @@
 
 // Removes expired grants. Their remaining tokens count as spent, since the
 // holder may have spent them without reporting it.
-void expire_grants(bucket& b, account_limits const& limits, instant now)
+void expire_grants(bucket& b, bucket_limits const& limits, instant now)
 {
     refill(b, limits, now);
     if (now < b.last_expiry_check_ + expiry_check_interval)
@@ -67,7 +75,7 @@
 
 bucket& find_or_create_bucket(
     grant_allocator& state, account_name const& account,
-    account_limits const& limits, instant now)
+    bucket_limits const& limits, instant now)
 {
     auto const known = state.leader_buckets_.find(account);
     if (known != state.leader_buckets_.end())
@@ -96,9 +104,9 @@
 
 // `reserve` is the level, in token_unit, that the request has to leave.
 duration time_to_next_token(
-    bucket const& b, account_limits const& limits, std::int64_t reserve)
+    bucket const& b, bucket_limits const& limits, std::int64_t reserve)
 {
-    if (b.outstanding_ >= limits.burst_ || limits.milli_rate_ == 0)
+    if (b.outstanding_ * 1000 >= limits.milli_burst_ || limits.milli_rate_ == 0)
         return contended_retry_delay;
     std::int64_t const missing = token_unit + reserve - b.level_;
     return duration{missing / limits.milli_rate_ + 1};
@@ -115,7 +123,7 @@
 }
 
 grant_response issue_grant(
-    grant_allocator& state, bucket& b, account_limits const& limits,
+    grant_allocator& state, bucket& b, bucket_limits const& limits,
     grant_request const& r, instant now)
 {
     std::int64_t const tokens = compute_grant_size(b, r);
@@ -143,17 +151,17 @@
 constexpr std::int64_t reserve_divisor = 16;
 constexpr std::int64_t max_reserved_ranks = 1;
 
-std::int64_t compute_reserve(account_limits const& limits, rank r)
+std::int64_t compute_reserve(bucket_limits const& limits, rank r)
 {
     std::int64_t const more_important =
         std::max(0, static_cast<int>(r) - highest_caller_rank);
-    return limits.burst_ * token_unit / reserve_divisor *
+    return limits.milli_burst_ * milli_token_unit / reserve_divisor *
            std::min(more_important, max_reserved_ranks);
 }
 
 // Takes tokens for the waiting calls, most important rank first.
 std::int64_t take_tokens(
-    bucket& b, account_limits const& limits, std::vector<ranked_calls> waiting)
+    bucket& b, bucket_limits const& limits, std::vector<ranked_calls> waiting)
 {
     std::sort(waiting.begin(), waiting.end());
     std::int64_t taken = 0;
@@ -169,36 +177,45 @@
     return taken;
 }
 
-// Fractions of the tolerance that are handed out as burst. The rest covers the
-// excess while the shares of hosts change.
-constexpr double used_tolerance_share = 0.2;
-constexpr double used_tolerance_requests = 0.5;
+// Fractions of the tolerance that are handed out, as rate and as burst. The
+// rest covers the excess while the shares of hosts change.
+struct used_fractions
+{
+    double rate_ = 0;
+    double burst_ = 0;
+};
+constexpr used_fractions used_relative_tolerance{0.4, 0.2};
+constexpr used_fractions used_absolute_tolerance{0.4, 0.4};
+constexpr double min_part_burst = 1; // requests
 
 } // namespace
 
-account_limits limits_for_share(
+bucket_limits limits_for_share(
     account_limits const& whole, rate_tolerance const& tolerance,
     host_share const& share)
 {
     double const window =
         std::chrono::duration<double>(tolerance.window_).count();
-    double const rate = static_cast<double>(whole.milli_rate_);
+    double const rate = static_cast<double>(whole.milli_rate_) / 1000;
     double const burst = static_cast<double>(whole.burst_);
-    double const tolerated_excess =
-        tolerance.share_ * (rate / 1000 * window + burst);
-    double const requests_per_host = tolerance.requests_ / share.hosts_;
+    double const relative =
+        tolerance.share_ * (rate * window + burst) * share.fraction_;
+    double const absolute = tolerance.requests_ / share.hosts_;
+    double const more_rate = (relative * used_relative_tolerance.rate_ +
+                              absolute * used_absolute_tolerance.rate_) /
+                             window;
+    double const more_burst = relative * used_relative_tolerance.burst_ +
+                              absolute * used_absolute_tolerance.burst_;
+    double const part_rate = rate * share.fraction_ + more_rate;
+    double const part_burst = burst * share.fraction_ + more_burst;
     return {
-        static_cast<std::int64_t>(rate * share.fraction_),
-        std::max<std::int64_t>(
-            1, static_cast<std::int64_t>(
-                   (burst + used_tolerance_share * tolerated_excess) *
-                       share.fraction_ +
-                   used_tolerance_requests * requests_per_host))};
+        static_cast<std::int64_t>(part_rate * 1000),
+        static_cast<std::int64_t>(std::max(min_part_burst, part_burst) * 1000)};
 }
 
 grant_allocator refill_local_bucket(
     grant_allocator state, account_name const& account,
-    account_limits const& limits, instant now)
+    bucket_limits const& limits, instant now)
 {
     auto const [known, fresh] = state.local_buckets_.try_emplace(account);
     bucket& b = known->second;
@@ -216,7 +233,7 @@
 }
 
 allocator_step allocate_from_local_bucket(
-    grant_allocator state, account_limits const& limits, grant_request const& r,
+    grant_allocator state, bucket_limits const& limits, grant_request const& r,
     instant now)
 {
     allocator_step step{
@@ -286,23 +303,24 @@
 {
     allocator_step step{std::move(state), std::nullopt};
     bool const wants_tokens = r.number_ != 0;
-    std::optional<account_limits> const limits =
+    std::optional<account_limits> const account =
         find_account_limits(m, r.account_);
     if (!may_allocate || !step.state_.ready_at_ ||
-        now < *step.state_.ready_at_ || !limits)
+        now < *step.state_.ready_at_ || !account)
     {
         if (wants_tokens)
             step.response_ = make_response(r, grant_result::unavailable);
         return step;
     }
-    bucket& b = find_or_create_bucket(step.state_, r.account_, *limits, now);
-    expire_grants(b, *limits, now);
+    bucket_limits const limits = whole_bucket(*account);
+    bucket& b = find_or_create_bucket(step.state_, r.account_, limits, now);
+    expire_grants(b, limits, now);
     for (grant_report const& report : r.reports_)
         apply_grant_report(b, r.host_, report);
     if (!wants_tokens)
         return step;
     b.requesters_[r.host_] = now;
-    step.response_ = issue_grant(step.state_, b, *limits, r, now);
+    step.response_ = issue_grant(step.state_, b, limits, r, now);
     return step;
 }
 
--- a/packages/control/jackdawhall/control/allocate_grants.hpp
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -79,6 +79,15 @@
     auto operator<=>(account_limits const&) const = default;
 };
 
+// Limits of one token bucket. The part of a small account's burst that one
+// control host grants is a few requests at most, so its fraction counts.
+struct bucket_limits
+{
+    std::int64_t milli_rate_ = 0;  // thousandths of a request per second
+    std::int64_t milli_burst_ = 0; // thousandths of a request
+    auto operator<=>(bucket_limits const&) const = default;
+};
+
 // Number of requests by which an account may exceed its shared rate, across the
 // fleet, in any window of the given length: share_ * (rate * window + burst) +
 // requests_. share_ is the relative tolerance, requests_ the absolute one.
@@ -101,7 +110,12 @@
 };
 
 // Limits that one control host enforces for its share of an account's limits.
-account_limits limits_for_share(
+//
+// Load pattern: accounts of a few requests per second, near their limits, whose
+// requests reach the control hosts unevenly at any moment. Part of the
+// tolerance is granted as rate, so that these do not find one host's bucket
+// empty while others hold tokens.
+bucket_limits limits_for_share(
     account_limits const& whole, rate_tolerance const& tolerance,
     host_share const& share);
 
@@ -132,12 +146,12 @@
 // above the new capacity are discarded.
 grant_allocator refill_local_bucket(
     grant_allocator state, account_name const& account,
-    account_limits const& limits, instant now);
+    bucket_limits const& limits, instant now);
 
 // Grants tokens from the local bucket of an account. Granted tokens count as
 // spent at once. There is no response to a request numbered 0.
 allocator_step allocate_from_local_bucket(
-    grant_allocator state, account_limits const& limits, grant_request const& r,
+    grant_allocator state, bucket_limits const& limits, grant_request const& r,
     instant now);
 
 // Applies the reports in a request, then grants tokens from the leader bucket
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -38,7 +38,7 @@
 
 // This host's limits for an account with a shared rate (schema 3); empty if the
 // account's rate is not shared.
-std::optional<account_limits>
+std::optional<bucket_limits>
 local_limits(state const& s, account_name const& account, instant now)
 {
     auto const held = s.machine_.records_.find({"account", account.str(), 3});
@@ -106,7 +106,7 @@
             account_name::make(held->first.name_);
         if (!name)
             continue;
-        if (std::optional<account_limits> const limits =
+        if (std::optional<bucket_limits> const limits =
                 local_limits(s, name.value(), now))
             s.allocator_ = refill_local_bucket(
                 std::move(s.allocator_), name.value(), *limits, now);
@@ -123,7 +123,7 @@
     if (!r)
         return p;
     state& s = p.state_;
-    std::optional<account_limits> const limits =
+    std::optional<bucket_limits> const limits =
         local_limits(s, r->account_, p.at_.now_);
     allocator_step step =
         limits ? allocate_from_local_bucket(
--- a/test/correctness/shared_rates.cpp
+++ b/test/correctness/shared_rates.cpp
@@ -34,7 +34,7 @@
     {
         grant_allocator state;
         host_share const part{share, static_cast<int>(shares.size())};
-        account_limits const limits = limits_for_share(whole, tolerance, part);
+        bucket_limits const limits = limits_for_share(whole, tolerance, part);
         instant const begin = instant{} + 60s;
         std::uint64_t number = 0;
         for (instant at = begin; at < begin + tolerance.window_; at += 1ms)
@@ -66,7 +66,7 @@
 
 TEST_CASE("what matters most finds tokens while the rest asks for too many")
 {
-    account_limits const part{100'000, 40}; // 100 a second
+    bucket_limits const part{100'000, 40'000}; // 100 a second
     rank const important = highest_caller_rank;
     rank const other = important + 2;
     grant_allocator state;
@@ -120,8 +120,8 @@
 TEST_CASE("tokens given by one host are not there again at another")
 {
     account_limits const whole{100'000, 100};
-    account_limits const large = limits_for_share(whole, tolerance, {0.84, 5});
-    account_limits const small = limits_for_share(whole, tolerance, {0.04, 5});
+    bucket_limits const large = limits_for_share(whole, tolerance, {0.84, 5});
+    bucket_limits const small = limits_for_share(whole, tolerance, {0.04, 5});
     instant at = instant{} + 60s;
     account_name const account = ask_for(1, 1).account_;
     grant_allocator const first = refill_local_bucket({}, account, large, at);
@@ -139,7 +139,7 @@
 
 TEST_CASE("a host that was suspended gives nothing from before")
 {
-    account_limits const part =
+    bucket_limits const part =
         limits_for_share({100'000, 100}, tolerance, {0.2, 5});
     instant const at = instant{} + 60s;
     grant_allocator const state =
@@ -151,9 +151,9 @@
 
 TEST_CASE("a host without demand can still serve a first request")
 {
-    account_limits const limits =
+    bucket_limits const limits =
         limits_for_share({2000, 2}, tolerance, {0.04, 5});
-    CHECK(limits.burst_ >= 1);
+    CHECK(limits.milli_burst_ >= 1000);
 }
 
 TEST_CASE(
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -106,18 +106,19 @@
     calls::settings s;
     s.self_ = h.name_;
     std::string const region = "region-" + std::to_string(i % 3);
-    s.location_ = {
+    h.location_ = {
         region_name::make(region).value(),
         zone_name::make(region + "-a").value()};
+    s.location_ = h.location_;
     s.gate_ = {"10.0.0." + std::to_string(i + 1), 7070};
     s.retries_ = options_.retries_;
     s.shutdown_periods_ = options_.shutdown_periods_;
-    std::size_t const named = named_control_hosts();
     if (options_.in_force_)
     {
         s.renewal_interval_ = *options_.in_force_ / 4;
         s.control_timeout_ = *options_.in_force_ / 2;
     }
+    std::size_t const named = named_control_hosts();
     s.discovers_control_hosts_ = options_.control_seeds_ != 0;
     for (std::size_t k = 0; k < named; ++k)
         s.control_hosts_.push_back(host((i + k) % named));
@@ -161,7 +162,7 @@
     h.syncing_ = false;
     h.control_ = control::make_state(
         consensus_settings(i), *h.disk_, random_source(random_.next()),
-        clock_of(h).now_);
+        clock_of(h).now_, {h.location_, options_.tolerance_});
 }
 
 void memory_fleet::kill(std::size_t i)
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -93,6 +93,7 @@
     double clock_error_ = 0; // host clock rates deviate by at most this
     std::uint32_t retries_ = 3;
     calls::shutdown_periods shutdown_periods_;
+    control::rate_tolerance tolerance_; // of shared rates
     // Within which a change must be in force; the daemons' defaults if empty.
     std::optional<duration> in_force_;
 };
@@ -184,6 +185,7 @@
     {
         host_name name_;
         bool up_ = false;
+        location location_;
         bool frozen_ = false;
         bool stopped_ = false;
         std::uint64_t generation_ = 0; // incremented by each kill
