Let a control host that is cut off or new take over no shares of others

Daemons of other hosts now ask such hosts too.

Change: shares of silent hosts are taken over only while a majority was in contact within 2 s; a host that has just started has an even share until it has heard from all others, for 4 s at most; a host out of contact grants only to the daemons attached to it.

Test: two cases of shared_rates. Not shown red on the code before (the function had no such argument).

--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -297,6 +297,14 @@
     return state;
 }
 
+grant_response no_tokens(grant_request const& r)
+{
+    constexpr duration retry_after = std::chrono::seconds(1);
+    grant_response response = make_response(r, grant_result::exhausted);
+    response.retry_after_ = retry_after;
+    return response;
+}
+
 allocator_step allocate_from_leader_bucket(
     grant_allocator state, state_machine const& m, grant_request const& r,
     bool may_allocate, instant now)
--- a/packages/control/jackdawhall/control/allocate_grants.hpp
+++ b/packages/control/jackdawhall/control/allocate_grants.hpp
@@ -154,6 +154,9 @@
     grant_allocator state, bucket_limits const& limits, grant_request const& r,
     instant now);
 
+// The response of a host that may not grant to this daemon.
+grant_response no_tokens(grant_request const& r);
+
 // Applies the reports in a request, then grants tokens from the leader bucket
 // as available. A request numbered 0 carries reports only and gets no response.
 // `may_allocate` is true if this host holds the leader lease.
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -36,6 +36,25 @@
     p.effects_.push_back(send{{r.host_, std::move(answer)}});
 }
 
+// A state of this age or less shows recent contact with a majority.
+constexpr duration max_contact_age = std::chrono::seconds(2);
+
+majority_contact contact_of(state const& s, instant now)
+{
+    std::optional<duration> const age = state_age(s.consensus_, now);
+    return age && *age <= max_contact_age ? majority_contact::recent
+                                          : majority_contact::unknown;
+}
+
+// A host out of contact with the majority grants only to the daemons attached
+// to it: others are granted their tokens by the hosts that they are attached
+// to, which may have taken over this host's share.
+bool may_grant_to(state const& s, host_name const& daemon, instant now)
+{
+    return s.membership_.attached_daemons_.contains(daemon) ||
+           contact_of(s, now) == majority_contact::recent;
+}
+
 // This host's limits for an account with a shared rate (schema 3); empty if the
 // account's rate is not shared.
 std::optional<bucket_limits>
@@ -49,7 +68,7 @@
         return std::nullopt;
     return limits_for_share(
         {a->milli_rate_, a->burst_}, s.tolerance_,
-        compute_host_share(s.membership_, account, now));
+        compute_host_share(s.membership_, account, contact_of(s, now), now));
 }
 
 } // namespace
@@ -59,6 +78,11 @@
     state& s = p.state_;
     if (renewal_request const* r = received_message<renewal_request>(p))
         answer_renewal(p, *r);
+    if (confirmation_request const* r =
+            received_message<confirmation_request>(p))
+        p.effects_.push_back(send{
+            {r->host_,
+             confirm_configuration(s.machine_, *r, status_of(s, p.at_.now_))}});
     distribution_step step =
         push_changes(std::move(s.distribution_), s.machine_, p.at_.now_);
     s.distribution_ = std::move(step.state_);
@@ -79,11 +103,6 @@
     if (membership_report const* r = received_message<membership_report>(p))
         step = apply_report(std::move(m), *r, p.at_.now_);
     else if (
-    if (confirmation_request const* r =
-            received_message<confirmation_request>(p))
-        p.effects_.push_back(send{
-            {r->host_,
-             confirm_configuration(s.machine_, *r, status_of(s, p.at_.now_))}});
         membership_request const* w = received_message<membership_request>(p))
         step = send_full_report(std::move(m), *w);
     else
@@ -125,6 +144,11 @@
     state& s = p.state_;
     std::optional<bucket_limits> const limits =
         local_limits(s, r->account_, p.at_.now_);
+    if (limits && r->number_ != 0 && !may_grant_to(s, r->host_, p.at_.now_))
+    {
+        p.effects_.push_back(send{{r->host_, no_tokens(*r)}});
+        return p;
+    }
     allocator_step step =
         limits ? allocate_from_local_bucket(
                      std::move(s.allocator_), *limits, *r, p.at_.now_)
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -325,9 +325,30 @@
     return step;
 }
 
+namespace
+{
+
+// Whether this host started lately and has not heard yet from all others.
+bool awaits_first_reports(membership const& m, instant now)
+{
+    if (now - m.started_at_ >= peer_silence_timeout)
+        return false;
+    return std::any_of(
+        m.peer_hosts_.begin(), m.peer_hosts_.end(),
+        [&](host_name const& host) { return !m.peers_.contains(host); });
+}
+
+} // namespace
+
 host_share compute_host_share(
-    membership const& state, account_name const& account, instant now)
+    membership const& state, account_name const& account,
+    majority_contact contact, instant now)
 {
+    if (awaits_first_reports(state, now))
+    {
+        int const all = static_cast<int>(state.peer_hosts_.size()) + 1;
+        return {1.0 / all, all};
+    }
     auto const reported = state.reported_demand_.find(account);
     std::int64_t const own =
         reported == state.reported_demand_.end() ? 0 : reported->second;
@@ -335,7 +356,8 @@
     int hosts = 1;
     for (auto const& other : state.peers_)
     {
-        if (now - other.second.heard_ >= peer_silence_timeout)
+        if (contact == majority_contact::recent &&
+            now - other.second.heard_ >= peer_silence_timeout)
             continue;
         ++hosts;
         auto const known = other.second.demand_.find(account);
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -87,6 +87,7 @@
     // same figures, or the shares add up to more than 1 while demand grows.
     std::map<account_name, std::int64_t> reported_demand_;
     instant report_due_;
+    instant started_at_; // start of this host's run
     auto operator<=>(membership const&) const = default;
 };
 
@@ -109,12 +110,25 @@
 std::vector<service_servers>
 changed_services(membership const& state, renewal_request const& r);
 
+// Whether a control host knows that a majority of the voters is in contact with
+// it, as it was lately.
+enum class majority_contact
+{
+    recent,
+    unknown
+};
+
 // This host's share of an account's rate: evenly_split_fraction is split evenly
 // among the live control hosts, the rest in proportion to their daemons'
 // demand; without any demand, all of it is split evenly. The shares of all
 // control hosts add up to 1.
+//
+// A host that is out of contact takes over no share of hosts that are silent to
+// it, and one that has just started has an even share until it has heard from
+// the others: they may go on granting theirs.
 host_share compute_host_share(
-    membership const& state, account_name const& account, instant now);
+    membership const& state, account_name const& account,
+    majority_contact contact, instant now);
 
 // Number of daemons attached to the live control hosts.
 std::int64_t count_daemons(membership const& state, instant now);
--- a/test/correctness/shared_rates.cpp
+++ b/test/correctness/shared_rates.cpp
@@ -48,6 +48,21 @@
     return given;
 }
 
+host_share
+share_of(membership const& m, account_name const& account, instant at)
+{
+    return compute_host_share(m, account, majority_contact::recent, at);
+}
+
+membership_report
+report_of(host_name const& origin, account_name const& account)
+{
+    membership_report report;
+    report.origin_ = origin;
+    report.demand_ = {{account, 1000}};
+    return report;
+}
+
 } // namespace
 
 TEST_CASE("no window sees more than the rate, the burst and the tolerance")
@@ -107,13 +122,13 @@
     other.origin_ = host_name::make("other").value();
     other.demand_ = {{account, 1000}};
     m = apply_report(std::move(m), other, at).state_;
-    double const before = compute_host_share(m, account, at).fraction_;
+    double const before = share_of(m, account, at).fraction_;
     r.demand_ = {{account, 9000}};
     m = apply_announcement(std::move(m), r, at);
-    CHECK(compute_host_share(m, account, at).fraction_ == before);
+    CHECK(share_of(m, account, at).fraction_ == before);
     at += report_interval;
     m = expire_and_report(std::move(m), at).state_;
-    CHECK(compute_host_share(m, account, at).fraction_ > before);
+    CHECK(share_of(m, account, at).fraction_ > before);
 }
 
 // The demand is at the first host, then all of it at the second.
@@ -166,3 +181,36 @@
         ask_for(1, 1), state.started_at_);
     CHECK(step.response_->result_ == grant_result::exhausted);
 }
+
+// The others go on granting their shares: the host granted the whole rate.
+TEST_CASE("a host that has just started has an even share at most")
+{
+    account_name const account = ask_for(1, 1).account_;
+    host_name const first = host_name::make("first").value();
+    host_name const second = host_name::make("second").value();
+    membership m;
+    m.peer_hosts_ = {first, second};
+    m.started_at_ = instant{} + 60s;
+    instant const at = m.started_at_ + 500ms;
+    CHECK(share_of(m, account, at).fraction_ <= 1.0 / 3);
+    m = apply_report(std::move(m), report_of(first, account), at).state_;
+    CHECK(share_of(m, account, at).fraction_ <= 1.0 / 3);
+    m = apply_report(std::move(m), report_of(second, account), at).state_;
+    CHECK(share_of(m, account, at).fraction_ < 1.0 / 3);
+}
+
+TEST_CASE("a host that is cut off takes over no shares")
+{
+    account_name const account = ask_for(1, 1).account_;
+    host_name const other = host_name::make("other").value();
+    membership m;
+    m.peer_hosts_ = {other};
+    instant const heard = instant{} + 60s;
+    m = apply_report(std::move(m), report_of(other, account), heard).state_;
+    instant const later = heard + peer_silence_timeout;
+    host_share const cut_off =
+        compute_host_share(m, account, majority_contact::unknown, later);
+    CHECK(cut_off.fraction_ <= 0.5);
+    CHECK(cut_off.hosts_ == 2);
+    CHECK(share_of(m, account, later).fraction_ == 1);
+}
