Give out more of the tolerance as burst, and less as rate

Cause: 2/5 of the absolute tolerance as rate raised the limits of 90 accounts by a fifth for good, so that the burst of 1.7 was let in whole, and gabarits, which the calls of all lead to, was overloaded from the first second.

Change: a tenth as rate, seven tenths as burst, for a moment's unevenness.

--- a/packages/control/jackdawhall/control/allocate_grants.cpp
+++ b/packages/control/jackdawhall/control/allocate_grants.cpp
@@ -184,8 +184,8 @@
     double rate_ = 0;
     double burst_ = 0;
 };
-constexpr used_fractions used_relative_tolerance{0.4, 0.2};
-constexpr used_fractions used_absolute_tolerance{0.4, 0.4};
+constexpr used_fractions used_relative_tolerance{0.1, 0.2};
+constexpr used_fractions used_absolute_tolerance{0.1, 0.7};
 constexpr double min_part_burst = 1; // requests
 
 } // namespace
