Place calls by what the gates report of their servers' recent runs

Daemons judged servers by three failures in a row that they saw themselves, and used all once half were set aside.

Change: a gate counts failures and times of its server's runs, decaying over 3 s, and reports them with each answer. From 6 % failures on, or three times the service's usual time, an entry prefers other servers of its zone and region for 3 s, while these are loaded to 70 % at most.

Test: failing_servers. 60 % of the servers lose 40 % of their answers: 27 to 29 % of payments failed with the mechanism left out, under 6 % now.

--- a/packages/calls/jackdawhall/calls/choose_server.cpp
+++ b/packages/calls/jackdawhall/calls/choose_server.cpp
@@ -130,10 +130,16 @@
 // region: waiting in a short queue costs less than the longer round trip.
 constexpr double short_queue_load = 1.5;
 
-// Returns the servers with room in the nearest tier that has any: the
-// availability zone, the region, the region with short queues, then all
-// regions. If no server has room, returns all servers for the most important
-// calls or if the region has none, otherwise those of the region.
+// Load up to which servers that are not avoided get the calls of those that
+// are. Beyond it, moving calls would overload them in turn.
+constexpr double max_load_of_preferred = 0.7;
+
+// Returns the servers with room in the nearest tier that has any. Servers that
+// are not avoided come first, in this region: its availability zone, then all
+// of it. Then all servers: the availability zone, the region, the region with
+// short queues, all regions. If no server has room, returns all servers for the
+// most important calls or if the region has none, otherwise those of the
+// region.
 candidates
 nearby_candidates(state const& s, candidates const& all, rank r, instant now)
 {
@@ -144,9 +150,16 @@
     candidates const region = select_if(
         all, [&](backend_server const* server)
         { return server->location_.region_ == here.region_; });
+    auto const preferred = [&](candidates const& servers)
+    {
+        return select_if(
+            servers, [&](backend_server const* server)
+            { return now >= stats_of(s, *server).avoided_until_; });
+    };
     for (tier const& t :
-         {tier{zone, 1}, tier{region, 1}, tier{region, short_queue_load},
-          tier{all, 1}})
+         {tier{preferred(zone), max_load_of_preferred},
+          tier{preferred(region), max_load_of_preferred}, tier{zone, 1},
+          tier{region, 1}, tier{region, short_queue_load}, tier{all, 1}})
     {
         candidates with_room = select_if(
             t.servers_, [&](backend_server const* server)
--- a/packages/calls/jackdawhall/calls/end_runs.cpp
+++ b/packages/calls/jackdawhall/calls/end_runs.cpp
@@ -48,6 +48,61 @@
         w.state_->settings_.admission_);
 }
 
+// Whether a run ended by a fault of the server itself; nullopt if this cannot
+// be told.
+std::optional<bool>
+failed_at_server(gate_run const& run, backend_outcome const& outcome)
+{
+    constexpr std::uint16_t first_server_error = 500;
+    return std::visit(
+        overloaded{
+            [&](answered const& a) -> std::optional<bool>
+            {
+                bool const error = a.answer_.status_ >= first_server_error;
+                if (error && run.call_failed_)
+                    return std::nullopt;
+                return error;
+            },
+            [](not_connected const&) -> std::optional<bool> { return true; },
+            [](backend_refused const& r) -> std::optional<bool>
+            {
+                if (r.reason_ == refusal_reason::server_replaced)
+                    return std::nullopt;
+                return true;
+            },
+            [&](connection_broken const& b) -> std::optional<bool>
+            {
+                bool const lost =
+                    b.reason_ == indeterminate_reason::connection_lost ||
+                    b.reason_ == indeterminate_reason::answer_incomplete;
+                if (run.cancelled_ || !lost)
+                    return std::nullopt;
+                return true;
+            },
+        },
+        outcome);
+}
+
+// Whether the time of a run is over, as its entry saw it: its cancellation is
+// under way for a moment.
+bool is_overdue(gate_run const& run, instant now)
+{
+    constexpr duration cancellation_time = std::chrono::milliseconds(50);
+    return now + cancellation_time >= run.deadline_;
+}
+
+void update_run_statistics(
+    local_server& server, gate_run const& run, backend_outcome const& outcome,
+    instant now)
+{
+    std::optional<bool> const failed = failed_at_server(run, outcome);
+    if (!failed && !(run.cancelled_ && is_overdue(run, now)))
+        return;
+    server.run_statistics_ = record_run(
+        server.run_statistics_,
+        {failed.value_or(false), latency_without_calls(run, now)}, now);
+}
+
 // Cancels a run in progress if it is repeatable; others go on, since their
 // outcome must become known.
 void cancel_if_repeatable(
@@ -105,6 +160,8 @@
     erase_run(s, run);
     w.effects_.push_back(
         observe_duration{stage::server, w.at_.now_ - run.started_at_});
+    if (still_known)
+        update_run_statistics(server->second, run, done.outcome_, w.at_.now_);
     std::visit(
         overloaded{
             [&](answered& a)
--- a/packages/calls/jackdawhall/calls/gate_run.cpp
+++ b/packages/calls/jackdawhall/calls/gate_run.cpp
@@ -66,6 +66,9 @@
             server.running_.size() + server.queued_.size());
         a.limit_ =
             static_cast<std::uint32_t>(concurrency_limit(server.limiter_));
+        a.failures_per_thousand_ =
+            failures_per_thousand(server.run_statistics_);
+        a.mean_run_time_ = mean_run_time(server.run_statistics_);
     }
     if (run.entry_ != w.state_->settings_.self_)
         w.state_->forward_memory_ = keep_answer(
--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -65,6 +65,35 @@
     e.failures_ = 0;
 }
 
+// Calls are placed elsewhere for a time if the gate's report is worse than that
+// of other servers.
+void take_run_statistics(
+    working_state& w, backend_server const& server, server_stats& e,
+    forward_response const& a)
+{
+    instant const now = w.at_.now_;
+    bool const was_avoided = now < e.avoided_until_;
+    bool const fails = fails_often(a.failures_per_thousand_);
+    bool slow = false;
+    if (a.mean_run_time_ > duration{0})
+    {
+        usual_run_time& usual = w.state_->usual_run_times_[server.service_];
+        usual = follow_run_time(usual, a.mean_run_time_, now);
+        slow = is_slow(usual, a.mean_run_time_);
+    }
+    bool const avoided = fails || slow;
+    e.avoided_until_ = avoided ? now + avoided_server_pause : instant{};
+    if (avoided == was_avoided)
+        return;
+    w.effects_.push_back(log_message{
+        avoided ? "backend server failing or slow; avoided"
+                : "backend server no longer avoided",
+        {{"server", server.id_},
+         {"host", server.host_.str()},
+         {"failures_per_thousand", std::to_string(a.failures_per_thousand_)},
+         {"run_ms", milliseconds_text(a.mean_run_time_)}}});
+}
+
 // A missed deadline counts as a failure of the server only if it has answered
 // no call since `since`, when the call was forwarded. A server that answers
 // other calls is busy, which its reported load already shows.
@@ -247,6 +276,7 @@
         e.load_reported_at_ = now;
         e.admitted_ = a.admitted_;
         e.admitted_until_ = now + admission_threshold_lifetime;
+        take_run_statistics(w, f.server_, e, a);
     }
     std::visit(
         overloaded{
--- a/packages/calls/jackdawhall/calls/settings.hpp
+++ b/packages/calls/jackdawhall/calls/settings.hpp
@@ -63,6 +63,9 @@
 // An entry applies a gate's reported admission threshold for this long.
 inline constexpr duration admission_threshold_lifetime =
     std::chrono::milliseconds(500);
+// A server whose gate reported too many failures, or slow runs, gets calls
+// again after this time, or when no other server has room.
+inline constexpr duration avoided_server_pause = std::chrono::seconds(3);
 // Retry budget of a root call, shared with all calls nested in it.
 inline constexpr std::uint32_t default_retries = 3;
 inline constexpr duration default_timeout = std::chrono::seconds(1);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -14,6 +14,7 @@
 #include <jackdawhall/calls/effect.hpp>
 #include <jackdawhall/calls/forward_memory.hpp>
 #include <jackdawhall/calls/limiter.hpp>
+#include <jackdawhall/calls/run_statistics.hpp>
 #include <jackdawhall/calls/settings.hpp>
 #include <jackdawhall/model.hpp>
 
@@ -180,12 +181,12 @@
     instant next_request_at_;
     // Whether a control host that allocates tokens answered the last request.
     bool allocated_ = false;
-    // Demand: calls in the current and the last prefetch window.
     // Of a shared rate: other control hosts asked since the current one had no
     // token, and the shortest time after which one of them will have.
     std::size_t others_asked_ = 0;
     duration shortest_retry_after_{0};
     instant others_empty_until_; // no other control host is asked before
+    // Demand: calls in the current and the last prefetch window.
     instant window_ends_;
     std::int64_t window_calls_ = 0;
     std::int64_t last_window_calls_ = 0;
@@ -220,6 +221,7 @@
     instant last_answer_at_;      // to a call of this daemon
     instant ejected_until_;
     std::uint32_t consecutive_ejections_ = 0;
+    instant avoided_until_; // by its gate's run statistics
     instant known_since_;
     auto operator<=>(server_stats const&) const = default;
 };
@@ -262,6 +264,7 @@
     // Whether an earlier process with the same id was known.
     bool restarted_ = false;
     limiter limiter_;
+    run_statistics run_statistics_;
     std::set<call_number> running_;
     std::vector<call_number> queued_; // oldest first
     // Admission threshold: the least important rank that is admitted.
@@ -288,14 +291,6 @@
 
 // --- Control hosts ----------------------------------------------------------
 
-struct control_link
-{
-    std::vector<host_name> hosts_; // in order of preference
-    std::size_t preferred_ = 0;    // the first preferred_ of hosts_ are nearest
-    std::size_t current_ = 0;      // index into hosts_
-    instant switched_at_;          // when current_ last changed
-    instant renewal_due_;
-    // When the current control host last answered from a recent state, or when
 // What the daemon knows of a control host that it may switch to.
 struct alternate_control_host
 {
@@ -305,22 +300,30 @@
     auto operator<=>(alternate_control_host const&) const = default;
 };
 
+struct control_link
+{
+    std::vector<host_name> hosts_; // in order of preference
+    std::size_t preferred_ = 0;    // the first preferred_ of hosts_ are nearest
+    std::size_t current_ = 0;      // index into hosts_
+    instant switched_at_;          // when current_ last changed
+    instant renewal_due_;
+    // When the current control host last answered from a recent state, or when
     // it became the current one.
     instant last_answer_at_;
+    // When the current control host last answered, from whatever state.
+    instant last_heard_at_;
+    std::map<host_name, alternate_control_host> alternates_;
     host_name leader_;
     std::uint64_t membership_version_ = 0;
+    std::uint64_t membership_incarnation_ = 0; // of the control host's run
     // Of the last renewal; 0: the next answer does not set membership_version_.
     std::int64_t renewal_stamp_ = 0;
     auto operator<=>(control_link const&) const = default;
 };
 
 // Verdict of a non-repeatable request, kept for resends.
-    // When the current control host last answered, from whatever state.
-    instant last_heard_at_;
-    std::map<host_name, alternate_control_host> alternates_;
 struct recent_verdict
 {
-    std::uint64_t membership_incarnation_ = 0; // of the control host's run
     verdict verdict_;
     std::string body_hash_;
     instant until_;
@@ -368,6 +371,7 @@
     std::map<service_name, std::vector<backend_server>> servers_;
     std::set<service_name> wanted_; // whose server lists are requested
     std::map<server_key, server_stats> server_stats_;
+    std::map<service_name, usual_run_time> usual_run_times_;
     std::map<std::string, local_server> local_servers_; // by server id
     std::map<call_number, entry_call> calls_;
     std::map<call_number, call_number> call_of_forward_; // forward -> call
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -178,21 +178,6 @@
     auto operator<=>(renewal_response const&) const = default;
 };
 
-// Sent by a control host to another: the backend servers of the daemons
-// attached to the sender.
-struct membership_report
-{
-    host_name origin_;
-    std::uint64_t incarnation_ = 0;
-    std::uint64_t from_version_ = 0; // 0: full report
-    std::uint64_t to_version_ = 0;
-    std::vector<backend_server> present_;
-    std::vector<std::pair<host_name, std::string>> removed_; // host, server id
-    location location_;                  // of the control host
-    std::int64_t daemons_ = 0;           // attached to it
-    std::vector<account_demand> demand_; // of the daemons attached to it
-    auto operator<=>(membership_report const&) const = default;
-};
 // Sent by a daemon to the other control hosts while its own does not confirm
 // the configuration. It neither attaches nor subscribes the daemon there.
 struct confirmation_request
@@ -213,6 +198,21 @@
     auto operator<=>(confirmation_response const&) const = default;
 };
 
+// Sent by a control host to another: the backend servers of the daemons
+// attached to the sender.
+struct membership_report
+{
+    host_name origin_;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t from_version_ = 0; // 0: full report
+    std::uint64_t to_version_ = 0;
+    std::vector<backend_server> present_;
+    std::vector<std::pair<host_name, std::string>> removed_; // host, server id
+    location location_;                  // of the control host
+    std::int64_t daemons_ = 0;           // attached to it
+    std::vector<account_demand> demand_; // of the daemons attached to it
+    auto operator<=>(membership_report const&) const = default;
+};
 struct membership_request
 {
     host_name requester_;
@@ -409,6 +409,9 @@
                               // none of its own calls had failed
     bool makes_calls_ = true; // the server makes calls while it runs requests
     duration time_at_gate_{0}; // from receipt of the request to this response
+    // Recent runs of the server; see calls::run_statistics.
+    std::uint32_t failures_per_thousand_ = 0;
+    duration mean_run_time_{0}; // 0: unknown
     auto operator<=>(forward_response const&) const = default;
 };
 struct cancel_forward
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -249,7 +249,8 @@
     &forward_response::retries_unused_, &forward_response::admitted_,
     &forward_response::in_use_, &forward_response::limit_,
     &forward_response::shed_, &forward_response::makes_calls_,
-    &forward_response::time_at_gate_)
+    &forward_response::time_at_gate_, &forward_response::failures_per_thousand_,
+    &forward_response::mean_run_time_)
 JACKDAWHALL_FIELDS(cancel_forward, &cancel_forward::number_)
 JACKDAWHALL_FIELDS(
     forward_inquiry, &forward_inquiry::incarnation_,
--- a/test/support/memory_backends.cpp
+++ b/test/support/memory_backends.cpp
@@ -69,7 +69,11 @@
            [this, id = r.server_id_] { crash_backend(id); });
         return;
     }
-    if (b.options_.fails_)
+    bool const fails =
+        b.options_.fails_ ||
+        (b.options_.failures_per_thousand_ > 0 &&
+         random_.below(1000) < b.options_.failures_per_thousand_);
+    if (fails)
     {
         at(now_ + std::chrono::milliseconds(1),
            [this, i, id = r.server_id_, run = r.run_]
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -106,6 +106,7 @@
     duration service_time_ = std::chrono::milliseconds(2);
     std::string calls_;  // path requested downstream; empty: none
     bool fails_ = false; // every run ends with a broken connection
+    std::uint32_t failures_per_thousand_ = 0; // of runs, whose answers are lost
     bool announces_ = true;
 };
 
@@ -184,8 +185,8 @@
     struct sim_host
     {
         host_name name_;
-        bool up_ = false;
         location location_;
+        bool up_ = false;
         bool frozen_ = false;
         bool stopped_ = false;
         std::uint64_t generation_ = 0; // incremented by each kill
