Renew more often while a daemon has no lease

Cause, in part: a daemon that is refused a lease since no majority has been heard from asks again after a whole renewal interval (625 ms).

Change: four renewals an interval while there is no lease and the control host answers, whatever it says.

--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -219,6 +219,25 @@
     s.control_.renewal_due_ = now;
 }
 
+namespace
+{
+
+// Without a lease the daemon renews more often, as long as its control host
+// answers: it waits for that host to hear from a majority.
+//
+// Load pattern: all hosts start again at once, and callers return.
+duration interval_to_next_renewal(state const& s, instant now)
+{
+    constexpr int renewals_without_lease = 4; // per interval
+    duration const interval = s.settings_.renewal_interval_;
+    bool const host_answers =
+        now - s.control_.last_heard_at_ < s.settings_.control_timeout_;
+    bool const waits = !is_fresh(s.configuration_, now) && host_answers;
+    return waits ? interval / renewals_without_lease : interval;
+}
+
+} // namespace
+
 working_state send_renewal(working_state w)
 {
     state& s = *w.state_;
@@ -227,7 +246,8 @@
     leave_unresponsive_control_host(w);
     if (w.at_.now_ - s.control_.last_answer_at_ > s.settings_.renewal_interval_)
         request_confirmations(w);
-    s.control_.renewal_due_ = w.at_.now_ + s.settings_.renewal_interval_;
+    s.control_.renewal_due_ =
+        w.at_.now_ + interval_to_next_renewal(s, w.at_.now_);
     s.control_.renewal_stamp_ = w.at_.now_.time_since_epoch().count();
     send_message(
         w, s.control_.hosts_.at(s.control_.current_),
