Test a series of changes beside isolated control hosts

Cause in the record: the daemon's two nearest control hosts, one of them the leader, were cut off from the other three, which accepted several changes a second. The existing test makes one change after such a cut; the record has a series of them.

--- a/test/correctness/isolated_control_hosts.cpp
+++ b/test/correctness/isolated_control_hosts.cpp
@@ -104,6 +104,44 @@
         [&] { return all_daemons_hold(fleet, newest); }, bound(in_force)));
 }
 
+TEST_CASE("each change of a series is in force at daemons of isolated hosts")
+{
+    constexpr int changes = 8;
+    constexpr duration pause = 250ms; // between two changes
+    duration const in_force = GENERATE(2000ms, 2500ms);
+    std::uint64_t const seed = GENERATE(range(1, 9));
+    memory_fleet fleet(five_control_hosts_with_daemons(seed, in_force));
+    wait_until_ready(fleet, all_hosts);
+    fleet.run_for(group_formed);
+    make_change(fleet, {put_account("one", 1, 1)});
+    fleet.run_for(in_force);
+    std::vector<std::size_t> const isolated = two_hosts(fleet, true, seed);
+    cut_from_majority(fleet, isolated);
+    REQUIRE(fleet.run_until(
+        [&]
+        {
+            std::optional<std::size_t> const leader = fleet.leader();
+            return leader && !is_among(isolated, *leader);
+        },
+        5s));
+    int checked = 0;
+    for (int i = 0; i < changes; ++i)
+    {
+        std::string const name = "account-" + std::to_string(i);
+        revision const newest = make_change(fleet, {put_account(name, 1, 1)});
+        fleet.at(
+            fleet.now() + bound(in_force),
+            [&, newest]
+            {
+                ++checked;
+                CHECK(all_daemons_hold(fleet, newest));
+            });
+        fleet.run_for(pause);
+    }
+    fleet.run_for(in_force);
+    CHECK(checked == changes);
+}
+
 TEST_CASE("the leases of daemons outlast the isolation of their control hosts")
 {
     duration const in_force = 2500ms;
