Keep slots for calls of runs in progress when long requests fill a server

They go first in the queue, but a run holds its slot to its end: requests of callers that take 1.1 to 1.8 s came to hold all 11 slots, and calls of 67 ms waited out their time. The runs that made them held the slots of the service before, which then refused orders. Ruled out: placement in other regions (171 of 1,949 refused calls crossed).

Change: one slot is left to such calls while they come, and new work may hold a share of the slots that falls while such calls wait long and grows while a slot is free (calls/new_work_share.cpp). New metric gate_new_work_limit, and new_work_limit in the lines of refused runs.

--- a/packages/calls/jackdawhall/calls/gate.cpp
+++ b/packages/calls/jackdawhall/calls/gate.cpp
@@ -61,9 +61,21 @@
     return std::nullopt;
 }
 
+// Notes how long a call of a run in progress waited for its slot.
+void note_wait(local_server& server, gate_run const& run, instant now)
+{
+    if (!serves_run_in_progress(run))
+        return;
+    bool const waited_long =
+        is_long_wait(now - run.created_at_, run.deadline_ - run.created_at_);
+    server.new_work_share_ =
+        record_call(server.new_work_share_, waited_long, now);
+}
+
 void start_run(working_state& w, local_server& server, call_number number)
 {
     gate_run& run = w.state_->runs_.at(number);
+    note_wait(server, run, w.at_.now_);
     std::erase(server.queued_, number);
     server.running_.insert(number);
     w.state_->run_due_.erase({due_time(run), number});
@@ -200,6 +212,7 @@
     local_server& server = known->second;
     decay_recent_runs(server, w.at_.now_);
     raise_threshold(server, w.at_.now_);
+    server.new_work_share_ = advance_share(server.new_work_share_, w.at_.now_);
     while (server.running_.size() < concurrency_limit(server.limiter_))
     {
         std::optional<call_number> const next = select_next_run(w, server);
@@ -210,6 +223,8 @@
         else
             start_run(w, server, *next);
     }
+    if (server.running_.size() >= concurrency_limit(server.limiter_))
+        server.new_work_share_ = record_full(server.new_work_share_);
     return w;
 }
 
--- a/packages/calls/jackdawhall/calls/gate_run.cpp
+++ b/packages/calls/jackdawhall/calls/gate_run.cpp
@@ -18,8 +18,28 @@
 constexpr duration refusal_lead_time = std::chrono::milliseconds(50);
 constexpr int refusal_lead_time_divisor = 8;
 
+// Notes that a queued run for a call of a run in progress is refused for want
+// of a slot.
+void note_refusal(
+    state& s, gate_run const& run, refusal_reason reason, instant now)
+{
+    auto const server = s.local_servers_.find(run.server_id_);
+    bool const wanted_slot = reason == refusal_reason::shed_at_gate ||
+                             reason == refusal_reason::deadline_passed;
+    if (server == s.local_servers_.end() || !wanted_slot ||
+        !serves_run_in_progress(run))
+        return;
+    local_server& at = server->second;
+    at.new_work_share_ = record_call(at.new_work_share_, true, now);
+}
+
 } // namespace
 
+bool serves_run_in_progress(gate_run const& run)
+{
+    return run.context_.depth_ > 0 || run.context_.account_.empty();
+}
+
 instant due_time(gate_run const& run)
 {
     duration const time = run.deadline_ - run.created_at_;
@@ -96,8 +116,11 @@
             "running", std::to_string(server.running_.size()));
         line.fields_.emplace_back(
             "queued", std::to_string(server.queued_.size()));
+        std::size_t const limit = concurrency_limit(server.limiter_);
+        line.fields_.emplace_back("limit", std::to_string(limit));
         line.fields_.emplace_back(
-            "limit", std::to_string(concurrency_limit(server.limiter_)));
+            "new_work_limit", std::to_string(max_new_runs(
+                                  server.new_work_share_, limit, w.at_.now_)));
         line.fields_.emplace_back(
             "admitted_rank", std::to_string(server.admitted_));
     }
@@ -107,6 +130,7 @@
 void refuse_run(working_state& w, call_number number, refusal_reason reason)
 {
     log_refusal(w, w.state_->runs_.at(number), reason);
+    note_refusal(*w.state_, w.state_->runs_.at(number), reason, w.at_.now_);
     gate_run const run = std::move(w.state_->runs_.at(number));
     erase_run(*w.state_, run);
     send_answer(w, run, not_run{reason, std::chrono::milliseconds(100)}, false);
--- a/packages/calls/jackdawhall/calls/gate_run.hpp
+++ b/packages/calls/jackdawhall/calls/gate_run.hpp
@@ -7,6 +7,9 @@
 namespace jackdawhall::calls
 {
 
+// Whether a run serves a call of another run in progress. Calls on open routes
+// count as such: backend servers make them while they run a request.
+bool serves_run_in_progress(gate_run const& run);
 // When a queued run is refused, or a running one reaches its deadline, if it is
 // not abandoned before.
 instant due_time(gate_run const& run);
--- a/packages/calls/jackdawhall/calls/order_queue.cpp
+++ b/packages/calls/jackdawhall/calls/order_queue.cpp
@@ -1,6 +1,6 @@
 // Order of the runs queued at a gate: by importance, then by fairness between
 // accounts.
-#include <jackdawhall/calls/pipeline_context.hpp>
+#include <jackdawhall/calls/gate_run.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -61,6 +61,21 @@
                { return is_suspect(w, w.state_->runs_.at(other)); });
 }
 
+// Whether new work holds all the slots that it may hold.
+bool is_new_work_at_limit(working_state const& w, local_server const& server)
+{
+    std::size_t const limit = concurrency_limit(server.limiter_);
+    std::size_t const most =
+        max_new_runs(server.new_work_share_, limit, w.at_.now_);
+    if (most >= limit)
+        return false;
+    auto const new_runs = std::count_if(
+        server.running_.begin(), server.running_.end(),
+        [&](call_number number)
+        { return !serves_run_in_progress(w.state_->runs_.at(number)); });
+    return static_cast<std::size_t>(new_runs) >= most;
+}
+
 bool is_overloaded(working_state const& w, local_server const& server)
 {
     return !server.queued_.empty() &&
@@ -90,10 +105,12 @@
 {
     std::optional<call_number> best;
     bool const overloaded = is_overloaded(w, server);
+    bool const no_new_work = is_new_work_at_limit(w, server);
     for (call_number const number : server.queued_)
     {
         gate_run const& run = w.state_->runs_.at(number);
-        if (must_wait(w, server, run))
+        if (must_wait(w, server, run) ||
+            (no_new_work && !serves_run_in_progress(run)))
             continue;
         bool const better =
             !best ||
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -14,6 +14,7 @@
 #include <jackdawhall/calls/effect.hpp>
 #include <jackdawhall/calls/forward_memory.hpp>
 #include <jackdawhall/calls/limiter.hpp>
+#include <jackdawhall/calls/new_work_share.hpp>
 #include <jackdawhall/calls/run_statistics.hpp>
 #include <jackdawhall/calls/settings.hpp>
 #include <jackdawhall/model.hpp>
@@ -264,6 +265,7 @@
     // Whether an earlier process with the same id was known.
     bool restarted_ = false;
     limiter limiter_;
+    new_work_share new_work_share_;
     run_statistics run_statistics_;
     std::set<call_number> running_;
     std::vector<call_number> queued_; // oldest first
--- a/packages/daemon/jackdawhall/daemon/metrics.cpp
+++ b/packages/daemon/jackdawhall/daemon/metrics.cpp
@@ -71,7 +71,11 @@
                                "\",server=\"" + id + "\"";
     line(out, "gate_running", labels, server.running_.size());
     line(out, "gate_queued", labels, server.queued_.size());
-    line(out, "gate_limit", labels, calls::concurrency_limit(server.limiter_));
+    std::size_t const limit = calls::concurrency_limit(server.limiter_);
+    line(out, "gate_limit", labels, limit);
+    line(
+        out, "gate_new_work_limit", labels,
+        calls::max_new_runs(server.new_work_share_, limit, now));
     line(
         out, "gate_admitted_rank", labels,
         static_cast<unsigned>(server.admitted_));
@@ -202,6 +206,9 @@
     head(out, "gate_running", "gauge", "Runs at a server.");
     head(out, "gate_queued", "gauge", "Requests queued for a server.");
     head(out, "gate_limit", "gauge", "Most runs at once.");
+    head(
+        out, "gate_new_work_limit", "gauge",
+        "Most runs at once that are no calls of runs in progress.");
     head(out, "gate_admitted_rank", "gauge", "Least important rank admitted.");
     head(
         out, "gate_announcement_age_seconds", "gauge",
