Count rate tokens by source, and show that an account gets more than its rate

What callers saw: an account beyond its limit (QUOTA). Logs and metrics could not tell granted tokens from those of a daemon's local share. Now a daemon counts tokens by source, logs a line a second for each account whose share it spends without a control host, and a control host shows its part of each rate.

--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -243,7 +243,8 @@
 void count_shared_demand(state& s, account_name const& name, instant now);
 // Spends a token of the local share of a shared rate, which the daemon uses
 // while no control host answers. Returns false if none is left.
-bool spend_local_share(state& s, account_name const& name, instant now);
+bool spend_local_share(working_state& w, account_name const& name);
+void count_token(state& s, token_source from);
 working_state handle_grant_response(working_state w, grant_response const& r);
 // Returns the tokens of idle accounts to the leader of the control hosts, and
 // repeats the grant requests that are due for waiting calls.
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -199,6 +199,8 @@
 {
     double tokens_ = 0; // available while no control host answers
     instant updated_at_;
+    std::uint64_t unlogged_tokens_ = 0; // spent since the last log line
+    instant next_log_line_;
     double demand_ = 0; // requests per second, moving average
     instant demand_updated_at_;
     auto operator<=>(shared_rate_usage const&) const = default;
@@ -346,6 +348,14 @@
 using reason_counters =
     std::array<std::uint64_t, static_cast<std::size_t>(Reason::last_) + 1>;
 
+// Where a token of a shared rate comes from.
+enum class token_source : std::uint8_t
+{
+    granted,     // by a control host
+    local_share, // the daemon's own share of the rate
+    last_ = local_share
+};
+
 struct counters
 {
     std::uint64_t requests_ = 0;
@@ -355,6 +365,7 @@
     reason_counters<refusal_reason> refusals_{};
     reason_counters<indeterminate_reason> doubts_{};
     reason_counters<retry_reason> retries_{};
+    reason_counters<token_source> tokens_{}; // of shared rates, spent
     auto operator<=>(counters const&) const = default;
 };
 
--- a/packages/calls/jackdawhall/calls/take_share.cpp
+++ b/packages/calls/jackdawhall/calls/take_share.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace jackdawhall::calls
 {
@@ -36,6 +37,25 @@
                            demand_time_constant_seconds);
 }
 
+// One line an interval for each account.
+constexpr duration local_tokens_log_interval = std::chrono::seconds(1);
+
+void log_local_tokens(
+    working_state& w, account_name const& name, shared_rate_usage& u)
+{
+    ++u.unlogged_tokens_;
+    if (w.at_.now_ < u.next_log_line_)
+        return;
+    u.next_log_line_ = w.at_.now_ + local_tokens_log_interval;
+    w.effects_.push_back(log_message{
+        "rate tokens spent without a control host",
+        {{"account", name.str()},
+         {"tokens", std::to_string(std::exchange(u.unlogged_tokens_, 0))},
+         {"daemons", std::to_string(w.state_->daemons_)},
+         {"silent_ms",
+          milliseconds_text(w.at_.now_ - w.state_->control_.last_heard_at_)}}});
+}
+
 } // namespace
 
 bool has_shared_rate(state const& s, account_name const& name)
@@ -52,8 +72,15 @@
     u.demand_updated_at_ = now;
 }
 
-bool spend_local_share(state& s, account_name const& name, instant now)
+void count_token(state& s, token_source from)
+{
+    ++s.counters_.tokens_.at(static_cast<std::size_t>(from));
+}
+
+bool spend_local_share(working_state& w, account_name const& name)
 {
+    state& s = *w.state_;
+    instant const now = w.at_.now_;
     account const& a = s.configuration_.accounts_.at(name);
     shared_rate_usage& u = s.shared_rate_usage_[name];
     auto const daemons =
@@ -67,6 +94,8 @@
     if (u.tokens_ < 1)
         return false;
     u.tokens_ -= 1;
+    count_token(s, token_source::local_share);
+    log_local_tokens(w, name, u);
     return true;
 }
 
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -181,6 +181,20 @@
     return h.allocated_ ? max_token_wait : max_allocator_wait;
 }
 
+// Spends a token of the daemon's own share if no control host answered the last
+// request for tokens of the account.
+bool spend_without_host(
+    pipeline_context& p, account_name const& account, token_pool const& h)
+{
+    if (h.allocated_ || !has_shared_rate(*p.state_, account))
+        return false;
+    working_state w{std::move(p.state_), std::move(p.effects_), p.at_};
+    bool const spent = spend_local_share(w, account);
+    p.state_ = std::move(w.state_);
+    p.effects_ = std::move(w.effects_);
+    return spent;
+}
+
 pipeline_context wait_for_token(pipeline_context p, token_pool& h)
 {
     entry_call const& c = p.call_;
@@ -189,8 +203,7 @@
     instant const until = c.created_at_ + max_wait(*p.state_, c, h);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
-        if (!h.allocated_ && has_shared_rate(*p.state_, c.context_.account_) &&
-            spend_local_share(*p.state_, c.context_.account_, now))
+        if (spend_without_host(p, c.context_.account_, h))
             return p;
         refusal_reason const why = h.allocated_
                                        ? refusal_reason::rate_exceeded
@@ -291,6 +304,8 @@
     if (spent)
     {
         remove_waiting_call(w.state_->token_pools_[account], p.call_.number_);
+        if (has_shared_rate(*w.state_, account))
+            count_token(*w.state_, token_source::granted);
     }
     else
     {
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -145,6 +145,10 @@
 // Number of changes and documents whose outcome somebody waits for.
 std::size_t changes_in_progress(state const& s);
 
+// This host's share of an account's shared rate.
+host_share
+current_host_share(state const& s, account_name const& account, instant now);
+
 // Whether the message carries a change or document to the leader.
 bool is_operator_request(message const& m);
 
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -68,11 +68,17 @@
         return std::nullopt;
     return limits_for_share(
         {a->milli_rate_, a->burst_}, s.tolerance_,
-        compute_host_share(s.membership_, account, contact_of(s, now), now));
+        current_host_share(s, account, now));
 }
 
 } // namespace
 
+host_share
+current_host_share(state const& s, account_name const& account, instant now)
+{
+    return compute_host_share(s.membership_, account, contact_of(s, now), now);
+}
+
 pipeline_context distribute_configuration(pipeline_context p)
 {
     state& s = p.state_;
--- a/packages/daemon/jackdawhall/daemon/metrics.cpp
+++ b/packages/daemon/jackdawhall/daemon/metrics.cpp
@@ -122,6 +122,21 @@
             [&](auto const& e) { return e.second.ejected_until_ > now; }));
 }
 
+void expose_tokens(std::ostringstream& out, calls::counters const& n)
+{
+    auto const spent = [&](calls::token_source from)
+    { return n.tokens_.at(static_cast<std::size_t>(from)); };
+    head(
+        out, "rate_tokens_spent_total", "counter",
+        "Tokens of shared rates spent, by where they come from.");
+    line(
+        out, "rate_tokens_spent_total", "source=\"granted\"",
+        spent(calls::token_source::granted));
+    line(
+        out, "rate_tokens_spent_total", "source=\"local_share\"",
+        spent(calls::token_source::local_share));
+}
+
 // Pages in memory, by the second number of /proc/self/statm; 0: not known.
 std::uint64_t resident_bytes()
 {
@@ -202,6 +217,7 @@
     expose_one(
         out, "runs_in_progress", "gauge", "Runs and queued requests at gates.",
         s.runs_.size());
+    expose_tokens(out, n);
     expose_beliefs(out, s, now);
     head(out, "gate_running", "gauge", "Runs at a server.");
     head(out, "gate_queued", "gauge", "Requests queued for a server.");
@@ -243,6 +259,13 @@
     expose_one(
         out, "subscribers", "gauge", "Daemons that renew here.",
         s.distribution_.subscribers_.size());
+    head(
+        out, "rate_share", "gauge",
+        "This host's part of an account's shared rate, 0 to 1.");
+    for (auto const& known : s.allocator_.local_buckets_)
+        line(
+            out, "rate_share", "account=\"" + known.first.str() + "\"",
+            control::current_host_share(s, known.first, now).fraction_);
     return out.str();
 }
 
