--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -181,13 +181,15 @@
 }
 
 // Returns how long after its start a call may wait for a token.
-duration max_wait(state const& s, entry_call const& c, token_pool const& h)
+duration
+max_wait(state const& s, entry_call const& c, token_pool const& h, instant now)
 {
     if (has_shared_rate(s, c.context_.account_))
         return std::min(
             max_shared_token_wait,
             c.context_.objective_ / shared_token_wait_divisor);
-    return h.allocated_ ? max_token_wait : max_allocator_wait;
+    return is_unanswered(h, control_resend_interval, now) ? max_allocator_wait
+                                                          : max_token_wait;
 }
 
 // Spends a token of a shared rate that needs no control host, if none answers.
@@ -209,7 +211,7 @@
     entry_call const& c = p.call_;
     instant const now = p.at_.now_;
     bool const waits = is_waiting(h, c.number_);
-    instant const until = c.created_at_ + max_wait(*p.state_, c, h);
+    instant const until = c.created_at_ + max_wait(*p.state_, c, h, now);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
         if (spend_without_host(p, c.context_.account_, h))
