--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -244,7 +244,7 @@
 // Spends a token of a shared rate without asking a control host, none of which
 // answers: one that was lent, or one of the standby. Returns false if none is
 // left.
-bool spend_local_share(working_state& w, account_name const& name);
+bool spend_local_share(pipeline_context& p, account_name const& name);
 // How long after the last answer to a renewal the daemon begins to spend what
 // it was lent; its control host gives that up before.
 duration contact_timeout(settings const& s);
--- a/packages/calls/jackdawhall/calls/take_share.cpp
+++ b/packages/calls/jackdawhall/calls/take_share.cpp
@@ -133,24 +133,23 @@
 }
 
 void log_local_tokens(
-    working_state& w, account_name const& name, shared_rate_usage& u)
+    pipeline_context& p, account_name const& name, shared_rate_usage& u)
 {
+    instant const now = p.at_.now_;
     ++u.unlogged_tokens_;
-    if (w.at_.now_ < u.next_log_line_)
+    if (now < u.next_log_line_)
         return;
-    u.next_log_line_ = w.at_.now_ + local_tokens_log_interval;
-    state const& s = *w.state_;
+    u.next_log_line_ = now + local_tokens_log_interval;
+    state const& s = *p.state_;
     auto const lent = s.borrowed_shares_.parts_.find(name);
     bool const known = lent != s.borrowed_shares_.parts_.end();
-    w.effects_.push_back(log_message{
+    p.effects_.push_back(log_message{
         "rate tokens spent without a control host",
         {{"account", name.str()},
          {"tokens", std::to_string(std::exchange(u.unlogged_tokens_, 0))},
          {"lent_millionths", std::to_string(known ? lent->second : 0)},
-         {"lent_left_ms",
-          milliseconds_text(s.borrowed_shares_.ends_ - w.at_.now_)},
-         {"silent_ms",
-          milliseconds_text(w.at_.now_ - s.control_.last_heard_at_)}}});
+         {"lent_left_ms", milliseconds_text(s.borrowed_shares_.ends_ - now)},
+         {"silent_ms", milliseconds_text(now - s.control_.last_heard_at_)}}});
 }
 
 } // namespace
@@ -174,15 +173,15 @@
     ++s.counters_.tokens_.at(static_cast<std::size_t>(from));
 }
 
-bool spend_local_share(working_state& w, account_name const& name)
+bool spend_local_share(pipeline_context& p, account_name const& name)
 {
-    state& s = *w.state_;
+    state& s = *p.state_;
     account const& a = s.configuration_.accounts_.at(name);
     shared_rate_usage& u = s.shared_rate_usage_[name];
-    bool const spent = spend_lent(s, name, a, u, w.at_.now_) ||
-                       spend_standby(s, a, u, w.at_.now_);
+    bool const spent = spend_lent(s, name, a, u, p.at_.now_) ||
+                       spend_standby(s, a, u, p.at_.now_);
     if (spent)
-        log_local_tokens(w, name, u);
+        log_local_tokens(p, name, u);
     return spent;
 }
 
--- a/packages/calls/jackdawhall/calls/take_token.cpp
+++ b/packages/calls/jackdawhall/calls/take_token.cpp
@@ -192,20 +192,6 @@
                                                           : max_token_wait;
 }
 
-// Spends a token of a shared rate that needs no control host, if none answers.
-bool spend_without_host(
-    pipeline_context& p, account_name const& account, token_pool const& h)
-{
-    if (!has_shared_rate(*p.state_, account) ||
-        !is_unanswered(h, token_answer_timeout, p.at_.now_))
-        return false;
-    working_state w{std::move(p.state_), std::move(p.effects_), p.at_};
-    bool const spent = spend_local_share(w, account);
-    p.state_ = std::move(w.state_);
-    p.effects_ = std::move(w.effects_);
-    return spent;
-}
-
 pipeline_context wait_for_token(pipeline_context p, token_pool& h)
 {
     entry_call const& c = p.call_;
@@ -214,7 +200,10 @@
     instant const until = c.created_at_ + max_wait(*p.state_, c, h, now);
     if (now >= until || (!waits && h.waiting_.size() >= max_waiting_for_tokens))
     {
-        if (spend_without_host(p, c.context_.account_, h))
+        bool const may_spend_local =
+            has_shared_rate(*p.state_, c.context_.account_) &&
+            is_unanswered(h, token_answer_timeout, now);
+        if (may_spend_local && spend_local_share(p, c.context_.account_))
             return p;
         refusal_reason const why = h.allocated_
                                        ? refusal_reason::rate_exceeded
