Grant at once what no daemon holds after restarts and moves

Cause: a host that had just started knew only what daemons showed it, and daemons that had started again show nothing; a lender heard nothing of a daemon that had moved.

Change: a report names the daemons that a host serves since lately, by the stamp of the renewal that they know to be answered, so that their former lender takes back what it lent before that. A host that has just started grants an even part for each daemon that has started again and has callers of the account, and its whole share if all have.

--- a/packages/calls/jackdawhall/calls/learn.cpp
+++ b/packages/calls/jackdawhall/calls/learn.cpp
@@ -198,24 +198,24 @@
            known->second.available_ >= retry_cost(s, known->second);
 }
 
+// Number of daemons assumed until the size of the fleet is known.
+constexpr std::int64_t assumed_daemons = 50;
+
 // Only calls from callers earn retries. Calls on open routes, which nested
 // calls use, add to the load of a service but not to its retry budget.
 void refill_retry_budget(state& s, entry_call const& c, instant now)
 {
     retry_budget_policy const& r = s.settings_.retry_budget_policy_;
     retry_budget& b = s.retry_budgets_[c.service_];
-    bool const size_known = s.daemons_ > 0;
     double const daemon_count =
-        static_cast<double>(std::max<std::int64_t>(1, s.daemons_));
+        static_cast<double>(s.daemons_ > 0 ? s.daemons_ : assumed_daemons);
     // The slack first covers what all daemons may have saved up; the rest is
     // divided equally among the daemons over time.
     double const spare_slack =
         r.slack_ * slack_utilization - r.max_saved_ * daemon_count;
-    // A part of the slack is only known with the size of the fleet.
     double const slack_per_second =
-        size_known ? std::max(0.0, spare_slack) /
-                         std::chrono::duration<double>(r.window_).count()
-                   : 0;
+        std::max(0.0, spare_slack) /
+        std::chrono::duration<double>(r.window_).count();
     double const share =
         r.share_ *
         (spare_slack >= 0 ? share_utilization : reduced_share_utilization);
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -46,6 +46,7 @@
     r.demand_ = recent_demand(s, now);
     r.answered_stamp_ = s.borrowed_shares_.stamp_;
     r.contact_timeout_ = contact_timeout(s.settings_);
+    r.known_daemons_ = s.daemons_;
     return r;
 }
 
--- a/packages/control/jackdawhall/control/lend_shares.cpp
+++ b/packages/control/jackdawhall/control/lend_shares.cpp
@@ -31,7 +31,10 @@
 {
     add(l.reserved_, b.reserved_, sign);
     if (b.confirmed_)
+    {
         add(l.shown_, b.shown_, sign);
+        add(l.started_, b.started_, sign);
+    }
     if (!b.in_contact_)
         add(l.withheld_, b.reserved_, sign);
 }
@@ -105,6 +108,18 @@
     return parts;
 }
 
+// What a host that has just started may grant: what is certain not to be held
+// by daemons.
+std::int64_t settling_part(
+    share_ledger const& l, account_name const& account, std::int64_t share)
+{
+    if (l.fleet_size_ == 0)
+        return share;
+    std::int64_t const of_started =
+        whole_rate * part_of(l.started_, account) / l.fleet_size_;
+    return std::min(whole_rate, part_of(l.shown_, account) + of_started);
+}
+
 log_message contact_changed(host_name const& daemon, borrower const& b)
 {
     return {
@@ -144,6 +159,7 @@
         b = {};
         b.incarnation_ = r.incarnation_;
         b.contact_ = now;
+        b.started_again_ = r.known_daemons_ == 0;
     }
     if (b.last_stamp_ != 0 && r.answered_stamp_ == b.last_stamp_)
     {
@@ -151,11 +167,17 @@
         b.reserved_ = b.lent_;
         b.confirmed_ = true;
     }
+    l.fleet_size_ = std::max(l.fleet_size_, r.known_daemons_);
     b.last_stamp_ = r.stamp_;
     b.heard_ = now;
     b.contact_timeout_ = r.contact_timeout_;
     if (is_settling(l, now) && !r.local_shares_.empty())
         b.shown_ = to_parts(r.local_shares_);
+    if (is_settling(l, now) && b.started_again_)
+    {
+        for (account_demand const& d : r.demand_)
+            b.started_[d.account_] = 1;
+    }
     bool const regained = !b.in_contact_ && now < contact_ends(b);
     if (regained)
     {
@@ -167,6 +189,23 @@
     return step;
 }
 
+share_ledger
+take_back_from(share_ledger state, std::vector<served_daemon> const& elsewhere)
+{
+    for (served_daemon const& served : elsewhere)
+    {
+        auto const known = state.borrowers_.find(served.host_);
+        bool const left = known != state.borrowers_.end() &&
+                          known->second.incarnation_ == served.incarnation_ &&
+                          known->second.last_stamp_ < served.stamp_;
+        if (!left)
+            continue;
+        count(state, known->second, -1);
+        state.borrowers_.erase(known);
+    }
+    return state;
+}
+
 ledger_step withhold_silent(share_ledger state, instant now)
 {
     ledger_step step{std::move(state), {}};
@@ -207,8 +246,7 @@
     instant now)
 {
     std::int64_t const own =
-        is_settling(l, now) ? std::min(whole_rate, part_of(l.shown_, account))
-                            : share;
+        is_settling(l, now) ? settling_part(l, account, share) : share;
     return std::max<std::int64_t>(0, own - part_of(l.withheld_, account));
 }
 
--- a/packages/control/jackdawhall/control/lend_shares.hpp
+++ b/packages/control/jackdawhall/control/lend_shares.hpp
@@ -10,7 +10,10 @@
 // know how long the messages were on their way.
 //
 // A host that has just started does not know what was lent before. Until all of
-// that has ended, it grants only the parts that daemons show it.
+// that has ended, it grants the parts that daemons show it, and for each daemon
+// that has started again, and so holds nothing any more, an even part of the
+// accounts that it has callers of. If all daemons that it hears have started
+// again, it grants its whole share.
 #pragma once
 
 #include <map>
@@ -36,9 +39,12 @@
     instant contact_;
     bool in_contact_ = true;
     bool confirmed_ = false; // an answer, so that it spends nothing meanwhile
-    share_parts lent_;       // in the last answer
-    share_parts reserved_;   // the most that the daemon may hold
-    share_parts shown_;      // lent to it before this host started
+    bool started_again_ = false; // since it knew the size of the fleet
+    share_parts lent_;           // in the last answer
+    share_parts reserved_;       // the most that the daemon may hold
+    share_parts shown_;          // lent to it before this host started
+    // Accounts that it has callers of, if it started again; each counts 1.
+    share_parts started_;
     auto operator<=>(borrower const&) const = default;
 };
 
@@ -46,10 +52,12 @@
 {
     instant started_at_; // start of this host's run
     std::map<host_name, borrower> borrowers_;
-    share_parts reserved_; // sum over the borrowers
-    share_parts withheld_; // sum over those out of contact
-    share_parts shown_;    // sum over those that confirmed an answer
-    instant next_check_;   // when a borrower's contact or reservation may end
+    share_parts reserved_;        // sum over the borrowers
+    share_parts withheld_;        // sum over those out of contact
+    share_parts shown_;           // sum over those that confirmed an answer
+    share_parts started_;         // sum over those that confirmed an answer
+    std::int64_t fleet_size_ = 0; // as daemons knew it; 0: none did
+    instant next_check_; // when a borrower's contact or reservation may end
     auto operator<=>(share_ledger const&) const = default;
 };
 
@@ -69,6 +77,11 @@
 ledger_step
 note_renewal(share_ledger state, renewal_request const& r, instant now);
 
+// Takes back at once what daemons hold no more, since another host serves them.
+// To be called after the buckets are refilled, because these grow.
+share_ledger
+take_back_from(share_ledger state, std::vector<served_daemon> const& elsewhere);
+
 // Gives up what was lent to daemons whose contact has ended. To be called
 // before the buckets are refilled, because these shrink.
 ledger_step withhold_silent(share_ledger state, instant now);
--- a/packages/control/jackdawhall/control/serve_daemons.cpp
+++ b/packages/control/jackdawhall/control/serve_daemons.cpp
@@ -127,6 +127,14 @@
     s.shares_ = take_back_ended(std::move(s.shares_), now);
 }
 
+void take_back_shares(state& s, membership_report const& r, instant now)
+{
+    if (r.newly_served_.empty())
+        return;
+    refill_local_buckets(s, now);
+    s.shares_ = take_back_from(std::move(s.shares_), r.newly_served_);
+}
+
 std::vector<lending_terms>
 lending_terms_of(state const& s, renewal_request const& r, instant now)
 {
@@ -226,7 +234,10 @@
     }
     membership_step step;
     if (membership_report const* r = received_message<membership_report>(p))
+    {
+        take_back_shares(p.state_, *r, p.at_.now_);
         step = apply_report(std::move(m), *r, p.at_.now_);
+    }
     else if (
         membership_request const* w = received_message<membership_request>(p))
         step = send_full_report(std::move(m), *w);
--- a/packages/control/jackdawhall/control/track_membership.cpp
+++ b/packages/control/jackdawhall/control/track_membership.cpp
@@ -170,6 +170,20 @@
     }
 }
 
+// Daemons that confirmed an answer since the last report.
+std::vector<served_daemon> take_newly_served(membership& m)
+{
+    std::vector<served_daemon> served;
+    for (auto& [host, daemon] : m.attached_daemons_)
+    {
+        if (!daemon.confirmed_ || daemon.reported_)
+            continue;
+        daemon.reported_ = true;
+        served.push_back({host, daemon.incarnation_, daemon.confirmed_stamp_});
+    }
+    return served;
+}
+
 membership_report make_full_report(membership const& m)
 {
     membership_report report{
@@ -187,6 +201,7 @@
         m.self_, m.incarnation_, m.reported_version_, m.reported_version_, {},
         {}};
     add_host_summary(m, report);
+    report.newly_served_ = take_newly_served(m);
     if (m.unreported_servers_.empty())
         return report;
     report.to_version_ = ++m.reported_version_;
@@ -270,6 +285,8 @@
         daemon.confirmed_ || is_earlier_build ||
         (daemon.last_stamp_ != 0 && r.answered_stamp_ == daemon.last_stamp_);
     daemon.last_stamp_ = r.stamp_;
+    daemon.incarnation_ = r.incarnation_;
+    daemon.confirmed_stamp_ = r.answered_stamp_;
     daemon.demand_.clear();
     if (!daemon.confirmed_)
         return state;
--- a/packages/control/jackdawhall/control/track_membership.hpp
+++ b/packages/control/jackdawhall/control/track_membership.hpp
@@ -36,6 +36,9 @@
     // Whether it confirmed an answer. Until then it may hear none and be
     // granted nothing, and its demand does not count.
     bool confirmed_ = false;
+    bool reported_ = false; // to the other control hosts, as served here
+    std::uint64_t incarnation_ = 0;
+    std::int64_t confirmed_stamp_ = 0; // of the last renewal it confirmed
     // In thousandths of a request per second.
     std::map<account_name, std::int64_t> demand_;
     auto operator<=>(attached_daemon const&) const = default;
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -147,6 +147,7 @@
     duration contact_timeout_{0};
     // Shown to a run of a control host that did not lend them.
     std::vector<local_share> local_shares_;
+    std::int64_t known_daemons_ = 0; // as it was told last; 0: just started
     auto operator<=>(renewal_request const&) const = default;
 };
 
@@ -207,6 +208,16 @@
     auto operator<=>(confirmation_response const&) const = default;
 };
 
+// A daemon that has taken the answer of its new control host to the renewal of
+// this stamp, and so holds nothing that another host lent to it before.
+struct served_daemon
+{
+    host_name host_;
+    std::uint64_t incarnation_ = 0; // of the daemon's run
+    std::int64_t stamp_ = 0;
+    auto operator<=>(served_daemon const&) const = default;
+};
+
 // Sent by a control host to another: the backend servers of the daemons
 // attached to the sender.
 struct membership_report
@@ -217,9 +228,10 @@
     std::uint64_t to_version_ = 0;
     std::vector<backend_server> present_;
     std::vector<std::pair<host_name, std::string>> removed_; // host, server id
-    location location_;                  // of the control host
-    std::int64_t daemons_ = 0;           // attached to it
-    std::vector<account_demand> demand_; // of the daemons attached to it
+    location location_;                       // of the control host
+    std::int64_t daemons_ = 0;                // attached to it
+    std::vector<account_demand> demand_;      // of the daemons attached to it
+    std::vector<served_daemon> newly_served_; // since its last report
     auto operator<=>(membership_report const&) const = default;
 };
 struct membership_request
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -156,7 +156,7 @@
     &renewal_request::membership_version_, &renewal_request::demand_,
     &renewal_request::membership_incarnation_,
     &renewal_request::answered_stamp_, &renewal_request::contact_timeout_,
-    &renewal_request::local_shares_)
+    &renewal_request::local_shares_, &renewal_request::known_daemons_)
 JACKDAWHALL_FIELDS(listed_server, &listed_server::host_, &listed_server::id_)
 JACKDAWHALL_FIELDS(
     service_servers, &service_servers::service_, &service_servers::servers_,
@@ -178,12 +178,16 @@
     &confirmation_response::stamp_, &confirmation_response::age_,
     &confirmation_response::confirmed_, &confirmation_response::update_,
     &confirmation_response::membership_incarnation_)
+JACKDAWHALL_FIELDS(
+    served_daemon, &served_daemon::host_, &served_daemon::incarnation_,
+    &served_daemon::stamp_)
 JACKDAWHALL_FIELDS(
     membership_report, &membership_report::origin_,
     &membership_report::incarnation_, &membership_report::from_version_,
     &membership_report::to_version_, &membership_report::present_,
     &membership_report::removed_, &membership_report::location_,
-    &membership_report::daemons_, &membership_report::demand_)
+    &membership_report::daemons_, &membership_report::demand_,
+    &membership_report::newly_served_)
 JACKDAWHALL_FIELDS(membership_request, &membership_request::requester_)
 
 JACKDAWHALL_FIELDS(
