--- a/packages/calls/jackdawhall/calls/configuration.cpp
+++ b/packages/calls/jackdawhall/calls/configuration.cpp
@@ -109,6 +109,24 @@
         });
 }
 
+// Records of these kinds are looked up by their names: nothing is derived from
+// them.
+bool is_derived_from(record_key const& key)
+{
+    return key.kind_ != "departure" && key.kind_ != "suspect";
+}
+
+bool changes_derived(configuration_update const& update)
+{
+    auto const by_key = [](auto const& changed)
+    { return is_derived_from(changed.key_); };
+    return update.full_ ||
+           std::any_of(
+               update.records_.begin(), update.records_.end(), by_key) ||
+           std::any_of(
+               update.removals_.begin(), update.removals_.end(), by_key);
+}
+
 bool matches_prefix(route const& r, std::string const& path)
 {
     std::string const& prefix = r.path_prefix_;
@@ -137,7 +155,8 @@
     for (record const& r : update.records_)
         c.records_.insert_or_assign(r.key_, r);
     c.revision_ = update.to_;
-    rebuild_derived(c);
+    if (changes_derived(update))
+        rebuild_derived(c);
     return c;
 }
 
@@ -145,7 +164,10 @@
 extend_lease(configuration c, confirmation const& by, duration lease)
 {
     duration const length = lease - lease / clock_drift_divisor;
-    instant const until = by.sent_at_ - by.age_ + length;
+    instant const complete_at = by.sent_at_ - by.age_;
+    instant const until = complete_at + length;
+    if (!c.complete_at_ || *c.complete_at_ < complete_at)
+        c.complete_at_ = complete_at;
     if (!c.fresh_until_ || *c.fresh_until_ < until)
         c.fresh_until_ = until;
     return c;
@@ -196,6 +218,16 @@
     return s && s->draining_;
 }
 
+departure_v1 const* find_departure(
+    configuration const& c, host_name const& host, std::string const& server_id)
+{
+    auto const held =
+        c.records_.find({"departure", departure_name(host, server_id), 1});
+    return held == c.records_.end()
+               ? nullptr
+               : std::get_if<departure_v1>(&held->second.body_);
+}
+
 std::int64_t
 crash_count(configuration const& c, std::string const& suspect, wall_time wall)
 {
--- a/packages/calls/jackdawhall/calls/configuration.hpp
+++ b/packages/calls/jackdawhall/calls/configuration.hpp
@@ -67,6 +67,8 @@
     revision revision_ = 0;
     std::map<record_key, record> records_;
     std::optional<instant> fresh_until_; // nullopt: never had a lease
+    // What was accepted before this instant is applied; nullopt: not known.
+    std::optional<instant> complete_at_;
     // Derived from records_.
     // Longest path prefix first, then those that name a method.
     std::vector<route> routes_;
@@ -113,6 +115,11 @@
 
 bool is_service_draining(configuration const& c, service_name const& service);
 
+// Record of the departure of a server; nullptr if there is none.
+departure_v1 const* find_departure(
+    configuration const& c, host_name const& host,
+    std::string const& server_id);
+
 // Crashes attributed to a request, by its fingerprint; 0 once they have
 // expired.
 std::int64_t
--- a/packages/calls/jackdawhall/calls/effect.hpp
+++ b/packages/calls/jackdawhall/calls/effect.hpp
@@ -129,6 +129,14 @@
     std::int64_t started_ = 0;
     auto operator<=>(server_deregistered const&) const = default;
 };
+// A server that leaves waits for the acknowledgement of what it said last: that
+// it is draining, or its deregistration. answer_departure follows.
+struct departure_awaited
+{
+    std::uint64_t number_ = 0; // assigned by the front end
+    std::string server_id_;
+    auto operator<=>(departure_awaited const&) const = default;
+};
 // Result of probe_server: whether the server accepts connections.
 struct probe_result
 {
@@ -151,8 +159,8 @@
 using input = std::variant<
     received, timer_expired, caller_request, caller_disconnected,
     caller_finished, message_not_sent, link_lost, run_finished, announcement,
-    server_deregistered, probe_result, stop_requested, control_hosts_changed,
-    reduce_held_bytes, give_back_request>;
+    server_deregistered, departure_awaited, probe_result, stop_requested,
+    control_hosts_changed, reduce_held_bytes, give_back_request>;
 
 // --- Effects ----------------------------------------------------------------
 
@@ -204,6 +212,20 @@
     auto operator<=>(stopped const&) const = default;
 };
 
+enum class departure_outcome : std::uint8_t
+{
+    recorded,   // no daemon gives the server work again, also after a restart
+    unrecorded, // the control hosts did not record it in time
+    last_ = unrecorded
+};
+// Answers a departure_awaited.
+struct answer_departure
+{
+    std::uint64_t number_ = 0; // of the departure_awaited
+    departure_outcome outcome_ = departure_outcome::unrecorded;
+    auto operator<=>(answer_departure const&) const = default;
+};
+
 // Stages of a request whose durations are measured.
 enum class stage
 {
@@ -224,7 +246,7 @@
 
 using effect = std::variant<
     send, log_message, observe_duration, answer_caller, run_on_backend,
-    cancel_run, probe_server, stopped>;
+    cancel_run, probe_server, answer_departure, stopped>;
 using effects = std::vector<effect>;
 
 } // namespace jackdawhall::calls
--- a/packages/calls/jackdawhall/calls/gate_run.hpp
+++ b/packages/calls/jackdawhall/calls/gate_run.hpp
@@ -7,6 +7,9 @@
 namespace jackdawhall::calls
 {
 
+// What a process says may arrive this long after it has ended.
+inline constexpr duration late_message_time = std::chrono::seconds(10);
+
 // Whether a run serves a call of another run in progress. Calls on open routes
 // count as such: backend servers make them while they run a request.
 bool serves_run_in_progress(gate_run const& run);
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -196,6 +196,7 @@
     w = send_renewal(std::move(w));
     w = maintain_tokens(std::move(w));
     w = repeat_crash_reports(std::move(w));
+    w = maintain_departures(std::move(w));
     return resend_claim_releases(std::move(w));
 }
 
@@ -271,6 +272,8 @@
             [&](announcement& a) { w = handle_announcement(std::move(w), a); },
             [&](server_deregistered& g)
             { w = handle_server_deregistered(std::move(w), g); },
+            [&](departure_awaited& d)
+            { w = await_departure(std::move(w), d); },
             [&](probe_result& p) { w = handle_probe_result(std::move(w), p); },
             [&](control_hosts_changed& n)
             { w = set_control_hosts(std::move(w), n); },
@@ -315,6 +318,8 @@
         due = std::min(due, s.releases_due_);
     if (!s.crash_reports_.empty())
         due = std::min(due, s.crash_reports_due_);
+    if (std::optional<instant> const departures = next_departure_due(s))
+        due = std::min(due, *departures);
     for (auto const& [account, held] : s.token_pools_)
     {
         if (!held.grants_.empty())
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -212,6 +212,32 @@
 
 working_state handle_announcement(working_state w, announcement const& a);
 working_state expire_announcements(working_state w);
+
+// Whether the configuration holds all departures that daemons on this host
+// acknowledged before this one started. Until then a server that announces
+// itself may have left.
+bool are_departures_known(state const& s);
+// Whether a server had said by then that it leaves, at the time of `a`.
+bool is_departed(working_state const& w, announcement const& a);
+// Keeps an announcement until the departures are known.
+void hold_announcement(state& s, announcement const& a);
+// Takes the announcements held, once the departures are known.
+working_state take_held_announcements(working_state w);
+// Reports the departure of a process to the control hosts, unless they have
+// recorded it.
+void note_departure(
+    working_state& w, std::string const& server_id, std::int64_t started,
+    std::int64_t sequence);
+working_state
+await_departure(working_state w, departure_awaited const& awaited);
+// Answers the servers whose departures the configuration holds now.
+working_state settle_departures(working_state w);
+// Repeats the reports that are due, and answers the servers that have waited
+// too long.
+working_state maintain_departures(working_state w);
+// When maintain_departures has something to do; nullopt: it waits for nothing.
+std::optional<instant> next_departure_due(state const& s);
+
 // Subscribes to the list of backend servers of a service.
 void subscribe_to_service(state& s, service_name const& service, instant now);
 // Sends a renewal of the freshness lease when due.
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -33,9 +33,6 @@
     return suspects.empty() ? recent : suspects;
 }
 
-// What a process says may arrive this long after it has ended.
-constexpr duration late_message_time = std::chrono::seconds(10);
-
 // A deregistration that names no process may be that of an earlier one for as
 // long as its messages may arrive.
 bool is_of_earlier_process(
@@ -47,6 +44,20 @@
            now - server.first_heard_at_ < late_message_time;
 }
 
+// Sequence number of a deregistration: announcements of its process that arrive
+// later are outdated.
+constexpr std::int64_t final_sequence =
+    std::numeric_limits<std::int64_t>::max();
+
+// A deregistration of an unknown server that names no process is that of one
+// that has started by now.
+std::int64_t
+last_possible_start(server_deregistered const& gone, wall_time wall)
+{
+    return gone.started_ != 0 ? gone.started_
+                              : wall.time_since_epoch().count();
+}
+
 void log_late_deregistration(
     working_state& w, local_server const& server,
     server_deregistered const& gone)
@@ -109,17 +120,23 @@
 {
     auto const known = w.state_->local_servers_.find(gone.server_id_);
     if (known == w.state_->local_servers_.end())
+    {
+        note_departure(
+            w, gone.server_id_, last_possible_start(gone, w.at_.wall_),
+            final_sequence);
         return w;
+    }
     if (is_of_earlier_process(known->second, gone, w.at_.now_))
     {
         log_late_deregistration(w, known->second, gone);
+        if (gone.started_ != 0)
+            note_departure(
+                w, gone.server_id_, gone.started_, final_sequence);
         return w;
     }
     announcement last = known->second.announcement_;
-    // Its earlier announcements may still arrive. With the highest sequence
-    // number here, they count as outdated.
     last.started_ = std::max(last.started_, gone.started_);
-    last.sequence_ = std::numeric_limits<std::int64_t>::max();
+    last.sequence_ = final_sequence;
     last.state_ = server_state::draining;
     return handle_announcement(std::move(w), last);
 }
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -197,6 +197,14 @@
         });
 }
 
+// Whether the server is still on the way out as recorded: it leaves, and
+// nothing was announced in between that could have revoked it.
+bool continues_departure(local_server const& before, announcement const& a)
+{
+    return before.departure_recorded_ && a.state_ == server_state::draining &&
+           a.sequence_ == before.announcement_.sequence_ + 1;
+}
+
 // Removes the server, which refuses its queued runs, and adds it again with an
 // empty queue.
 void refuse_queued_runs(working_state& w, std::string const& id)
@@ -226,18 +234,21 @@
 namespace
 {
 
-// Without a lease the daemon renews more often, as long as its control host
-// answers: it waits for that host to hear from a majority.
+// Without a lease, or without the departures recorded for its host, the daemon
+// renews more often, as long as its control host answers: it waits for that
+// host to hear from a majority.
 //
 // Load pattern: all hosts start again at once, and callers return.
 duration interval_to_next_renewal(state const& s, instant now)
 {
-    constexpr int renewals_without_lease = 4; // per interval
+    constexpr int renewals_while_incomplete = 4; // per interval
     duration const interval = s.settings_.renewal_interval_;
+    bool const complete =
+        is_fresh(s.configuration_, now) && are_departures_known(s);
     bool const host_answers =
         now - s.control_.last_heard_at_ < s.settings_.control_timeout_;
-    bool const waits = !is_fresh(s.configuration_, now) && host_answers;
-    return waits ? interval / renewals_without_lease : interval;
+    return !complete && host_answers ? interval / renewals_while_incomplete
+                                     : interval;
 }
 
 } // namespace
@@ -271,7 +282,7 @@
             {{"revision", std::to_string(c.revision_)},
              {"before", std::to_string(before)},
              {"records", std::to_string(c.records_.size())}}});
-    return w;
+    return settle_departures(std::move(w));
 }
 
 working_state track_lease(working_state w)
@@ -298,6 +309,7 @@
     state& s = *w.state_;
     s.configuration_ = extend_lease(
         std::move(s.configuration_), by, s.settings_.freshness_lease_);
+    w = take_held_announcements(std::move(w));
     return track_lease(std::move(w));
 }
 
@@ -335,7 +347,12 @@
 working_state handle_announcement(working_state w, announcement const& a)
 {
     state& s = *w.state_;
-    if (is_outdated(s, a))
+    if (!are_departures_known(s))
+    {
+        hold_announcement(s, a);
+        return w;
+    }
+    if (is_outdated(s, a) || is_departed(w, a))
         return w;
     auto const before = s.local_servers_.find(a.id_);
     bool const restarted = before != s.local_servers_.end() &&
@@ -348,6 +365,7 @@
         w = remove_ended_server(std::move(w), *old);
     auto const [known, inserted] = w.state_->local_servers_.try_emplace(a.id_);
     local_server& server = known->second;
+    server.departure_recorded_ = continues_departure(server, a);
     bool const changed = inserted || server.announcement_.state_ != a.state_ ||
                          server.announcement_.slots_ != a.slots_ ||
                          server.announcement_.service_ != a.service_ ||
@@ -372,7 +390,11 @@
         w.state_->control_.renewal_due_ = w.at_.now_;
     }
     if (a.state_ == server_state::draining)
+    {
         refuse_queued_runs(w, a.id_);
+        if (!w.state_->local_servers_.at(a.id_).departure_recorded_)
+            note_departure(w, a.id_, a.started_, a.sequence_);
+    }
     return w;
 }
 
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -284,9 +284,30 @@
     // Times and fingerprints of requests whose connection to the server broke.
     std::deque<std::pair<instant, std::string>> broken_requests_;
     bool probing_ = false;
+    // Whether the control hosts have recorded that it leaves.
+    bool departure_recorded_ = false;
     auto operator<=>(local_server const&) const = default;
 };
 
+// A departure that the configuration does not hold yet, reported until it does.
+struct pending_departure
+{
+    std::int64_t started_ = 0;  // as in departure_v1
+    std::int64_t sequence_ = 0;
+    instant heard_at_;
+    instant report_due_;
+    auto operator<=>(pending_departure const&) const = default;
+};
+
+// A server that waits for the acknowledgement of its departure.
+struct departure_waiter
+{
+    std::uint64_t number_ = 0; // of the departure_awaited
+    std::string server_id_;
+    instant until_;
+    auto operator<=>(departure_waiter const&) const = default;
+};
+
 // A report of a crash, repeated until what it reports is in the configuration.
 struct repeated_crash_report
 {
@@ -408,6 +429,11 @@
     std::map<server_key, server_stats> server_stats_;
     std::map<service_name, usual_run_time> usual_run_times_;
     std::map<std::string, local_server> local_servers_; // by server id
+    std::map<std::string, pending_departure> pending_departures_; // by server id
+    std::deque<departure_waiter> departure_waiters_;              // oldest first
+    // The newest announcement of each server that spoke before the departures
+    // recorded for this host were known.
+    std::map<std::string, announcement> held_announcements_;
     std::map<call_number, entry_call> calls_;
     std::map<call_number, call_number> call_of_forward_; // forward -> call
     std::deque<sent_cancellation> sent_cancellations_;   // oldest first
--- a/packages/control/jackdawhall/control/apply_change.cpp
+++ b/packages/control/jackdawhall/control/apply_change.cpp
@@ -111,6 +111,15 @@
     return text;
 }
 
+// Departures come with the daily work, and are no change that an operator would
+// look for in the history.
+bool belongs_to_history(change const& c)
+{
+    return std::any_of(
+        c.edits_.begin(), c.edits_.end(),
+        [](edit const& e) { return e.key_.kind_ != "departure"; });
+}
+
 revision current_revision(state_machine const& m, record_key const& key)
 {
     auto const held = m.records_.find(key);
@@ -188,8 +197,9 @@
     else
     {
         apply_edits(m, wanted);
-        append_history(
-            m, {m.revision_, c.when_, wanted.author_, summarize(wanted)});
+        if (belongs_to_history(wanted))
+            append_history(
+                m, {m.revision_, c.when_, wanted.author_, summarize(wanted)});
         outcome = accepted{m.revision_};
     }
     record_outcome(m, wanted.operation_id_, outcome);
--- a/packages/control/jackdawhall/control/pipeline.cpp
+++ b/packages/control/jackdawhall/control/pipeline.cpp
@@ -18,6 +18,7 @@
     p = run_consensus(std::move(p));
     p = apply_committed(std::move(p));
     p = record_suspects(std::move(p));
+    p = record_departures(std::move(p));
     p = notify_waiters(std::move(p));
     p = start_or_stop_allocator(std::move(p));
     p = distribute_configuration(std::move(p));
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -116,6 +116,7 @@
     std::uint64_t last_forward_ = 0;
     answered_requests answered_;
     std::map<std::string, crash_count> crashes_; // by fingerprint
+    instant departures_due_; // when expired departures are removed next
     auto operator<=>(state const&) const = default;
 };
 
@@ -133,6 +134,11 @@
 inline constexpr std::chrono::milliseconds suspect_lifetime =
     std::chrono::minutes(10);
 
+// A departure is kept for longer than anything its server said before may be
+// on its way.
+inline constexpr std::chrono::milliseconds departure_lifetime =
+    std::chrono::minutes(10);
+
 state make_state(
     consensus_settings settings, recovered_state disk, random_source random,
     instant now, node_options const& options = {});
--- a/packages/control/jackdawhall/control/pipeline_context.hpp
+++ b/packages/control/jackdawhall/control/pipeline_context.hpp
@@ -48,6 +48,10 @@
 // counted than its record shows, and the removal of expired records.
 pipeline_context record_suspects(pipeline_context p);
 
+// On the leader, proposes a record for each reported departure of a backend
+// server, and the removal of those past their lifetime.
+pipeline_context record_departures(pipeline_context p);
+
 // Sends the outcomes of applied operations to their waiters.
 pipeline_context notify_waiters(pipeline_context p);
 
--- a/packages/daemon/jackdawhall/daemon/daemon.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.cpp
@@ -412,6 +412,7 @@
             [&](calls::cancel_run& c) { backends_->cancel(c.run_); },
             [&](calls::probe_server& p)
             { backends_->probe(p.server_id_, p.address_); },
+            [&](calls::answer_departure& d) { answer_leaving_server(d); },
             [&](calls::observe_duration& t) {
                 stage_latency_.at(static_cast<std::size_t>(t.stage_))
                     .add(t.time_);
--- a/packages/daemon/jackdawhall/daemon/daemon.hpp
+++ b/packages/daemon/jackdawhall/daemon/daemon.hpp
@@ -80,6 +80,7 @@
     // Effects of the call node.
     void carry_out(calls::effect e);
     void answer_http(calls::answer_caller a);
+    void answer_leaving_server(calls::answer_departure const& d);
     void log_answer(calls::answer_caller const& a);
     void run_on_backend(calls::run_on_backend const& r);
     void take_backend_result(std::uint64_t run, loop::backend_result result);
--- a/packages/daemon/jackdawhall/daemon/daemon_http.cpp
+++ b/packages/daemon/jackdawhall/daemon/daemon_http.cpp
@@ -166,6 +166,8 @@
                     403, "announced from another host",
                     "announce to the daemon beside the backend server"));
         give(calls::input{a});
+        if (a.state_ == server_state::draining)
+            return give(calls::input{calls::departure_awaited{number, a.id_}});
         callers_->answer(number, json_answer(200, "{}\n"));
     }
     catch (json::exception const& e)
@@ -178,6 +180,20 @@
     }
 }
 
+void daemon::answer_leaving_server(calls::answer_departure const& d)
+{
+    bool const recorded = d.outcome_ == calls::departure_outcome::recorded;
+    if (settings_.infrastructure_)
+        return orders_->answer(
+            d.number_, platform::to_leaving_server(d.outcome_));
+    callers_->answer(
+        d.number_, recorded
+                       ? json_answer(200, "{}\n")
+                       : error_answer(
+                             503, "the control hosts have not recorded it yet",
+                             "announce again"));
+}
+
 // --- Operators
 // ----------------------------------------------------------------
 
--- a/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
+++ b/packages/daemon/jackdawhall/daemon/infrastructure_front.cpp
@@ -112,7 +112,12 @@
         overloaded{
             [&](calls::announcement& a)
             {
+                bool const leaves = a.state_ == server_state::draining;
+                std::string const id = a.id_;
                 give(calls::input{std::move(a)});
+                if (leaves)
+                    return give(
+                        calls::input{calls::departure_awaited{number, id}});
                 orders_->answer(number, platform::to_announcer());
             },
             [&](calls::server_deregistered& g)
@@ -140,7 +145,7 @@
         return orders_->answer(
             number, platform::to_operator(unknown_outcome{
                         "it may be of an earlier process of the server"}));
-    orders_->answer(number, platform::to_announcer());
+    give(calls::input{calls::departure_awaited{number, server_id}});
 }
 
 void daemon::take_document(std::uint64_t number, document d)
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -170,6 +170,17 @@
     auto operator<=>(service_servers const&) const = default;
 };
 
+// Sent by a daemon to the leader of the control hosts: a process of a backend
+// server on its host leaves. Repeated until the configuration holds its record.
+struct departure_report
+{
+    host_name host_;
+    std::string server_id_;
+    std::int64_t started_ = 0;  // as in departure_v1
+    std::int64_t sequence_ = 0;
+    auto operator<=>(departure_report const&) const = default;
+};
+
 struct renewal_response
 {
     std::uint64_t incarnation_ = 0; // echoed
@@ -395,7 +406,7 @@
     change_response, forward_request, forward_response, cancel_forward,
     crash_report, control_host_list, document_request, forward_inquiry,
     forward_report, resent_document, confirmation_request,
-    confirmation_response>;
+    confirmation_response, departure_report>;
 
 // A message to send.
 struct outgoing
--- a/packages/model/jackdawhall/model/record.cpp
+++ b/packages/model/jackdawhall/model/record.cpp
@@ -10,6 +10,11 @@
     return key.kind_ + "/" + key.name_ + "@" + std::to_string(key.schema_);
 }
 
+std::string departure_name(host_name const& host, std::string const& server_id)
+{
+    return host.str() + "/" + server_id;
+}
+
 std::string_view to_text(repetition r)
 {
     switch (r)
@@ -63,6 +68,9 @@
             [](limits_v1 const&) -> std::optional<schema> {
                 return schema{"limits", 1};
             },
+            [](departure_v1 const&) -> std::optional<schema> {
+                return schema{"departure", 1};
+            },
             [](unknown_record const&) -> std::optional<schema>
             { return std::nullopt; },
         },
--- a/packages/model/jackdawhall/model/record.hpp
+++ b/packages/model/jackdawhall/model/record.hpp
@@ -160,6 +160,21 @@
 // Every daemon refuses a suspect with this many crashes or more.
 inline constexpr std::int64_t quarantine_crash_threshold = 2;
 
+// A process of a backend server that said that it leaves, and gets no more work.
+// The record is named "<host>/<server id>" and written by the leader of the
+// control hosts; what its server says later of an earlier moment is outdated.
+struct departure_v1
+{
+    // Start and sequence number of its last announcement, as announced.
+    std::int64_t started_ = 0;
+    std::int64_t sequence_ = 0;
+    std::int64_t recorded_ms_ = 0; // milliseconds since the Unix epoch
+    auto operator<=>(departure_v1 const&) const = default;
+};
+
+// Name of the record of a departure.
+std::string departure_name(host_name const& host, std::string const& server_id);
+
 // Record of an unsupported kind or schema, kept as bytes.
 struct unknown_record
 {
@@ -170,7 +185,8 @@
 // The wire encoding numbers the alternatives by position: append new ones.
 using record_body = std::variant<
     account_v1, account_v2, key_v1, route_v1, service_v1, suspect_v1,
-    unknown_record, account_v3, key_v2, route_v2, service_v2, limits_v1>;
+    unknown_record, account_v3, key_v2, route_v2, service_v2, limits_v1,
+    departure_v1>;
 
 // Identity of a record and the schema in which it is written.
 struct record_key
--- a/packages/wire/jackdawhall/wire/codec.cpp
+++ b/packages/wire/jackdawhall/wire/codec.cpp
@@ -120,6 +120,8 @@
         return as_body<service_v2>(bytes);
     if (key.kind_ == "limits" && key.schema_ == 1)
         return as_body<limits_v1>(bytes);
+    if (key.kind_ == "departure" && key.schema_ == 1)
+        return as_body<departure_v1>(bytes);
     return unknown_record{bytes};
 }
 
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -65,6 +65,9 @@
 JACKDAWHALL_FIELDS(
     document_command, &document_command::document_, &document_command::when_)
 JACKDAWHALL_FIELDS(suspect_v1, &suspect_v1::crashes_, &suspect_v1::expires_ms_)
+JACKDAWHALL_FIELDS(
+    departure_v1, &departure_v1::started_, &departure_v1::sequence_,
+    &departure_v1::recorded_ms_)
 JACKDAWHALL_FIELDS(
     change, &change::operation_id_, &change::author_, &change::edits_)
 JACKDAWHALL_FIELDS(accepted, &accepted::revision_)
@@ -270,6 +273,9 @@
 JACKDAWHALL_FIELDS(
     crash_report, &crash_report::host_, &crash_report::server_id_,
     &crash_report::suspects_)
+JACKDAWHALL_FIELDS(
+    departure_report, &departure_report::host_, &departure_report::server_id_,
+    &departure_report::started_, &departure_report::sequence_)
 
 #undef JACKDAWHALL_FIELDS
 
--- a/packages/wire/jackdawhall/wire/json.cpp
+++ b/packages/wire/jackdawhall/wire/json.cpp
@@ -276,6 +276,13 @@
                     {"header_time_ms", l.header_time_ms_},
                     {"idle_time_ms", l.idle_time_ms_}};
             },
+            [](departure_v1 const& d)
+            {
+                return json{
+                    {"started", d.started_},
+                    {"sequence", d.sequence_},
+                    {"recorded_ms", d.recorded_ms_}};
+            },
             [](unknown_record const&) { return json::object(); },
         },
         body);
--- a/test/correctness/announcements_ordered.cpp
+++ b/test/correctness/announcements_ordered.cpp
@@ -17,6 +17,8 @@
     one_daemon()
         : state_(make_state(make_settings(), random_source(7), instant{} + 1s))
     {
+        // No server left before its start.
+        state_.configuration_.complete_at_ = instant{} + 1s;
     }
 
     void hear(
--- a/test/support/memory_backends.cpp
+++ b/test/support/memory_backends.cpp
@@ -44,6 +44,24 @@
        });
 }
 
+void memory_fleet::announce(std::size_t host, calls::announcement a)
+{
+    deliver(host, calls::input{std::move(a)});
+}
+
+void memory_fleet::deregister(std::size_t host, calls::server_deregistered gone)
+{
+    deliver(host, calls::input{std::move(gone)});
+}
+
+std::uint64_t
+memory_fleet::await_departure(std::size_t host, std::string const& id)
+{
+    std::uint64_t const number = ++last_departure_;
+    deliver(host, calls::input{calls::departure_awaited{number, id}});
+    return number;
+}
+
 void memory_fleet::start_run(std::size_t i, calls::run_on_backend const& r)
 {
     auto const known = backends_.find(r.server_id_);
--- a/test/support/memory_fleet.cpp
+++ b/test/support/memory_fleet.cpp
@@ -373,6 +373,9 @@
                                 indeterminate_reason::cancelled});
                 }
             },
+            [&](calls::answer_departure& d) {
+                history_.departures_[d.number_] = {now_, d.outcome_};
+            },
             [&](calls::probe_server& p)
             {
                 bool const alive = backend_up(p.server_id_);
--- a/test/support/memory_fleet.hpp
+++ b/test/support/memory_fleet.hpp
@@ -64,6 +64,13 @@
     account_name account_;
 };
 
+// The answer to a backend server that leaves.
+struct departure_event
+{
+    duration at_{0};
+    calls::departure_outcome outcome_ = calls::departure_outcome::unrecorded;
+};
+
 struct history
 {
     std::vector<run_event> runs_;
@@ -72,6 +79,8 @@
     std::map<std::uint64_t, change_event> changes_;
     std::vector<token_event> tokens_;
     std::map<std::string, std::size_t> forwards_; // by root
+    // By the number of the departure_awaited.
+    std::map<std::uint64_t, departure_event> departures_;
     // Hosts whose configuration revision decreased.
     std::vector<std::string> reversions_;
 };
@@ -160,6 +169,12 @@
     void set_backend_state(std::string const& id, server_state state);
     backend_options& backend(std::string const& id);
     bool backend_up(std::string const& id) const;
+    // What a server says of itself beside its usual announcements.
+    void announce(std::size_t host, calls::announcement a);
+    void deregister(std::size_t host, calls::server_deregistered gone);
+    // Lets the server wait for the acknowledgement of its departure. Returns
+    // the key of the answer in the history's departures_.
+    std::uint64_t await_departure(std::size_t host, std::string const& id);
 
     // --- Callers and operators
     std::uint64_t send_request(std::size_t host, request r);
@@ -271,6 +286,7 @@
     std::map<std::pair<std::size_t, std::size_t>, duration> last_delivery_;
     std::map<std::string, sim_backend> backends_;
     std::uint64_t last_request_ = 0;
+    std::uint64_t last_departure_ = 0;
     std::map<std::uint64_t, std::size_t> request_host_;
     std::map<std::uint64_t, std::function<void(verdict const&)>>
         nested_handlers_;
--- a/test/support/single_node.hpp
+++ b/test/support/single_node.hpp
@@ -19,6 +19,8 @@
         std::uint64_t seed = 7, calls::settings s = make_settings())
         : state_(calls::make_state(std::move(s), random_source(seed), now_))
     {
+        // Its control host has told it that no server left before its start.
+        state_.configuration_.complete_at_ = now_;
     }
 
     static host_name self() { return name_literal<host_name>("self"); }
