--- a/packages/calls/jackdawhall/calls/check_access.cpp
+++ b/packages/calls/jackdawhall/calls/check_access.cpp
@@ -44,6 +44,14 @@
     return {};
 }
 
+// Whether an operator has configured the fleet as far as this daemon knows. A
+// fleet that has just begun confirms its empty state too, in which no path has
+// a route yet.
+bool knows_configuration(configuration const& c)
+{
+    return c.fresh_until_ && (!c.routes_.empty() || c.limits_);
+}
+
 // Returns the rank of a root call. Routes that limit the attempts belong to
 // schema 2, whose open routes carry the calls that backend servers make while
 // they run a request. That work has already started, so it takes precedence.
@@ -63,7 +71,7 @@
 
 pipeline_context find_call_route(pipeline_context p)
 {
-    if (!p.state_->configuration_.fresh_until_)
+    if (!knows_configuration(p.state_->configuration_))
         return refuse(
             std::move(p), refusal_reason::no_fresh_configuration,
             lease_retry_after);
