--- a/packages/calls/jackdawhall/calls/end_runs.cpp
+++ b/packages/calls/jackdawhall/calls/end_runs.cpp
@@ -168,6 +168,7 @@
             {
                 if (still_known)
                     update_limit(w, server->second, run);
+                note_completion(w, run, a.answer_);
                 // A 503 of the server counts as shedding, unless a nested call
                 // of the run failed, which may be its cause.
                 bool const shed = a.answer_.status_ == 503 && !run.call_failed_;
--- a/packages/calls/jackdawhall/calls/gate_run.hpp
+++ b/packages/calls/jackdawhall/calls/gate_run.hpp
@@ -26,7 +26,7 @@
 void refuse_run(working_state& w, call_number number, refusal_reason reason);
 // Removes a server whose process has ended, and reports the requests that broke
 // off shortly before as suspects. The server must be known.
-working_state
-remove_ended_server(working_state w, std::string const& server_id);
+working_state remove_ended_server(
+    working_state w, std::string const& server_id, refusal_reason why);
 
 } // namespace jackdawhall::calls
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -272,8 +272,7 @@
             [&](announcement& a) { w = handle_announcement(std::move(w), a); },
             [&](server_deregistered& g)
             { w = handle_server_deregistered(std::move(w), g); },
-            [&](departure_awaited& d)
-            { w = await_departure(std::move(w), d); },
+            [&](departure_awaited& d) { w = await_departure(std::move(w), d); },
             [&](probe_result& p) { w = handle_probe_result(std::move(w), p); },
             [&](control_hosts_changed& n)
             { w = set_control_hosts(std::move(w), n); },
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -172,8 +172,14 @@
 working_state handle_probe_result(working_state w, probe_result const& p);
 // Reports the requests that may have crashed a server, and keeps the report.
 void report_crash(
-    working_state& w, std::string const& server_id,
+    working_state& w, local_server const& server,
     std::vector<std::string> suspects);
+// Notes that a server ran a request to a good end, which therefore crashes
+// none; reports it if crashes are held against the request.
+void note_completion(working_state& w, gate_run const& run, answer const& a);
+// Whether the server ran the request to a good end a short time ago.
+bool completed_lately(
+    local_server const& server, std::string const& suspect, instant now);
 // Repeats, when due, the reports that may be lost: those whose suspects the
 // configuration doesn't hold yet.
 working_state repeat_crash_reports(working_state w);
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -12,15 +12,16 @@
 {
 
 // Takes the fingerprints of the requests that broke off shortly before the
-// server ended. If crashes are attributed to some of them already, only these
-// are returned.
+// server ended, but for those that it completed before. If crashes are
+// attributed to some of them already, only these are returned.
 std::set<std::string>
 take_suspects(working_state const& w, local_server& server)
 {
     std::set<std::string> recent;
     for (auto const& [when, suspect] : server.broken_requests_)
     {
-        if (w.at_.now_ - when <= crash_window)
+        if (w.at_.now_ - when <= crash_window &&
+            !completed_lately(server, suspect, w.at_.now_))
             recent.insert(suspect);
     }
     server.broken_requests_.clear();
@@ -54,8 +55,7 @@
 std::int64_t
 last_possible_start(server_deregistered const& gone, wall_time wall)
 {
-    return gone.started_ != 0 ? gone.started_
-                              : wall.time_since_epoch().count();
+    return gone.started_ != 0 ? gone.started_ : wall.time_since_epoch().count();
 }
 
 void log_late_deregistration(
@@ -105,14 +105,14 @@
     return w;
 }
 
-working_state remove_ended_server(working_state w, std::string const& server_id)
+working_state remove_ended_server(
+    working_state w, std::string const& server_id, refusal_reason why)
 {
-    std::set<std::string> const suspects =
-        take_suspects(w, w.state_->local_servers_.at(server_id));
+    local_server& server = w.state_->local_servers_.at(server_id);
+    std::set<std::string> const suspects = take_suspects(w, server);
     if (!suspects.empty())
-        report_crash(w, server_id, {suspects.begin(), suspects.end()});
-    return remove_server(
-        std::move(w), server_id, refusal_reason::connect_failed);
+        report_crash(w, server, {suspects.begin(), suspects.end()});
+    return remove_server(std::move(w), server_id, why);
 }
 
 working_state
@@ -130,8 +130,7 @@
     {
         log_late_deregistration(w, known->second, gone);
         if (gone.started_ != 0)
-            note_departure(
-                w, gone.server_id_, gone.started_, final_sequence);
+            note_departure(w, gone.server_id_, gone.started_, final_sequence);
         return w;
     }
     announcement last = known->second.announcement_;
@@ -150,7 +149,8 @@
         return w;
     known->second.probing_ = false;
     if (!p.alive_)
-        return remove_ended_server(std::move(w), p.server_id_);
+        return remove_ended_server(
+            std::move(w), p.server_id_, refusal_reason::connect_failed);
     known->second.broken_requests_.clear();
     return w;
 }
--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -360,9 +360,10 @@
     if (restarted)
         // The server restarted under the same id: its old state no longer
         // holds.
-        w = remove_server(std::move(w), a.id_, refusal_reason::no_server);
+        w = remove_ended_server(std::move(w), a.id_, refusal_reason::no_server);
     if (std::optional<std::string> const old = find_replaced_server(s, a))
-        w = remove_ended_server(std::move(w), *old);
+        w = remove_ended_server(
+            std::move(w), *old, refusal_reason::connect_failed);
     auto const [known, inserted] = w.state_->local_servers_.try_emplace(a.id_);
     local_server& server = known->second;
     server.departure_recorded_ = continues_departure(server, a);
--- a/packages/calls/jackdawhall/calls/report_crashes.cpp
+++ b/packages/calls/jackdawhall/calls/report_crashes.cpp
@@ -1,6 +1,6 @@
 // Reports of crashes to the leader of the control hosts. A link that ends may
 // lose one, so each is repeated until the configuration shows its suspects. The
-// leader counts servers, not reports, so that a copy does no harm, also at a
+// leader counts processes, not reports, so that a copy does no harm, also at a
 // daemon of an earlier build.
 #include <jackdawhall/calls/pipeline_context.hpp>
 
@@ -53,17 +53,32 @@
         all.pop_front();
 }
 
+// Start of the server's process in milliseconds since the Unix epoch: as
+// announced, or else when it was first heard of.
+std::int64_t start_of(working_state const& w, local_server const& server)
+{
+    if (server.announcement_.started_ != 0)
+        return server.announcement_.started_;
+    wall_time const first_heard =
+        w.at_.wall_ - std::chrono::duration_cast<std::chrono::milliseconds>(
+                          w.at_.now_ - server.first_heard_at_);
+    return first_heard.time_since_epoch().count();
+}
+
 } // namespace
 
 void report_crash(
-    working_state& w, std::string const& server_id,
+    working_state& w, local_server const& server,
     std::vector<std::string> suspects)
 {
+    std::string const& server_id = server.announcement_.id_;
     crash_report const report{
-        w.state_->settings_.self_, server_id, std::move(suspects)};
+        w.state_->settings_.self_, server_id, std::move(suspects),
+        start_of(w, server)};
     w.effects_.push_back(log_message{
         "backend server crashed; requests reported as suspects",
         {{"server", server_id},
+         {"started", std::to_string(report.started_)},
          {"suspects", std::to_string(report.suspects_.size())},
          {"to", leader_host(*w.state_).str()}}});
     send_message(w, leader_host(*w.state_), report);
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -283,6 +283,8 @@
     instant recent_runs_updated_at_;
     // Times and fingerprints of requests whose connection to the server broke.
     std::deque<std::pair<instant, std::string>> broken_requests_;
+    // When the server last ran each request to a good end, by fingerprint.
+    std::map<std::string, instant> completed_requests_;
     bool probing_ = false;
     // Whether the control hosts have recorded that it leaves.
     bool departure_recorded_ = false;
@@ -292,7 +294,7 @@
 // A departure that the configuration does not hold yet, reported until it does.
 struct pending_departure
 {
-    std::int64_t started_ = 0;  // as in departure_v1
+    std::int64_t started_ = 0; // as in departure_v1
     std::int64_t sequence_ = 0;
     instant heard_at_;
     instant report_due_;
@@ -429,8 +431,9 @@
     std::map<server_key, server_stats> server_stats_;
     std::map<service_name, usual_run_time> usual_run_times_;
     std::map<std::string, local_server> local_servers_; // by server id
-    std::map<std::string, pending_departure> pending_departures_; // by server id
-    std::deque<departure_waiter> departure_waiters_;              // oldest first
+    std::map<std::string, pending_departure>
+        pending_departures_;                         // by server id
+    std::deque<departure_waiter> departure_waiters_; // oldest first
     // The newest announcement of each server that spoke before the departures
     // recorded for this host were known.
     std::map<std::string, announcement> held_announcements_;
@@ -461,6 +464,8 @@
     std::map<std::pair<host_name, call_number>, call_number> run_of_forward_;
     std::deque<repeated_crash_report> crash_reports_; // oldest first
     instant crash_reports_due_;
+    // When the completion of each suspect was last reported, by fingerprint.
+    std::map<std::string, instant> reported_completions_;
     forward_memory forward_memory_; // of forwards that were answered or refused
     // When each run is refused if queued, or cancelled if running and
     // repeatable.
--- a/packages/control/jackdawhall/control/pipeline.hpp
+++ b/packages/control/jackdawhall/control/pipeline.hpp
@@ -88,11 +88,14 @@
     auto operator<=>(operation_waiter const&) const = default;
 };
 
-// Backend servers that crashed while running a given request, as counted by the
-// leader. Their number is the number of crashes that is recorded.
+// Crashes of backend servers that ran a given request, as counted by the leader
+// beside those that its record shows. Each is named by the fingerprint of the
+// process that crashed, so that a repeated report counts once.
 struct crash_count
 {
-    std::set<server_key> servers_;
+    std::set<std::string> processes_;
+    // Of crashes after which the request ran to a good end elsewhere.
+    std::set<std::string> cleared_;
     instant last_crash_;
     std::string pending_operation_; // operation that records it; empty if none
     auto operator<=>(crash_count const&) const = default;
@@ -158,7 +161,6 @@
 // The part of an account's shared rate that this host may grant.
 host_share
 current_host_share(state const& s, account_name const& account, instant now);
-
 // The same, were `shares` what the host has lent.
 host_share current_host_share(
     state const& s, share_ledger const& shares, account_name const& account,
--- a/packages/control/jackdawhall/control/pipeline_context.hpp
+++ b/packages/control/jackdawhall/control/pipeline_context.hpp
@@ -34,8 +34,9 @@
 pipeline_context propose_claims(pipeline_context p);
 
 // On the leader, counts a crash of a backend server against each request that
-// was running there. Such a request is a suspect, named by its fingerprint; two
-// crashes of a server with the same host and id count once.
+// was running there. Such a request is a suspect, named by its fingerprint. A
+// process that crashed counts once, however often it is reported. A suspect
+// that a server has run to a good end since is none any more.
 pipeline_context count_crashes(pipeline_context p);
 
 // Passes Raft messages, timer expiries and completed stores to consensus.
--- a/packages/control/jackdawhall/control/propose_commands.cpp
+++ b/packages/control/jackdawhall/control/propose_commands.cpp
@@ -176,32 +176,6 @@
              r.id_, r.run_, claim_result::unavailable, {}, r.holder_}}});
 }
 
-std::int64_t
-recorded_crashes(state_machine const& m, std::string const& suspect)
-{
-    auto const held = m.records_.find({"suspect", suspect, 1});
-    if (held == m.records_.end())
-        return 0;
-    return std::get<suspect_v1>(held->second.body_).crashes_;
-}
-
-change_command make_suspect_change(
-    state_machine const& m, std::string const& suspect,
-    crash_count const& count, wall_time wall)
-{
-    record_key const key{"suspect", suspect, 1};
-    auto const held = m.records_.find(key);
-    revision const expected =
-        held == m.records_.end() ? 0 : held->second.revision_;
-    suspect_v1 const body{
-        static_cast<std::int64_t>(count.servers_.size()),
-        (wall + suspect_lifetime).time_since_epoch().count()};
-    std::string const operation = "suspect-" + suspect + "-" +
-                                  std::to_string(body.crashes_) + "-" +
-                                  std::to_string(expected);
-    return {{operation, "crash reports", {{key, expected, body}}}, wall};
-}
-
 } // namespace
 
 pipeline_context propose_operator_changes(pipeline_context p)
@@ -240,83 +214,6 @@
     return p;
 }
 
-pipeline_context count_crashes(pipeline_context p)
-{
-    crash_report const* report = received_message<crash_report>(p);
-    if (!report || !is_leader(p.state_.consensus_))
-        return p;
-    for (std::string const& suspect : report->suspects_)
-    {
-        crash_count& count = p.state_.crashes_[suspect];
-        count.servers_.insert({report->host_, report->server_id_});
-        count.last_crash_ = p.at_.now_;
-    }
-    std::erase_if(
-        p.state_.crashes_, [&](auto const& count)
-        { return p.at_.now_ - count.second.last_crash_ > suspect_lifetime; });
-    return p;
-}
-
-namespace
-{
-
-// Proposes the removal of the first expired suspect; others follow with later
-// timer_expired inputs.
-void remove_expired_suspect(pipeline_context& p)
-{
-    std::map<record_key, record> const& records = p.state_.machine_.records_;
-    std::int64_t const now = p.at_.wall_.time_since_epoch().count();
-    auto held = records.lower_bound({"suspect", "", 0});
-    for (; held != records.end() && held->first.kind_ == "suspect"; ++held)
-    {
-        suspect_v1 const* s = std::get_if<suspect_v1>(&held->second.body_);
-        if (!s || s->expires_ms_ >= now)
-            continue;
-        revision const expected = held->second.revision_;
-        std::string const operation =
-            "suspect-expired-" + std::to_string(expected);
-        return propose_commands(
-            p, {change_command{
-                   {operation,
-                    "crash reports",
-                    {{held->first, expected, std::nullopt}}},
-                   p.at_.wall_}});
-    }
-}
-
-} // namespace
-
-pipeline_context record_suspects(pipeline_context p)
-{
-    if (!is_leader(p.state_.consensus_))
-        return p;
-    for (apply_result const& outcome : p.applied_)
-    {
-        change_applied const* c = std::get_if<change_applied>(&outcome);
-        for (auto& counted : p.state_.crashes_)
-        {
-            if (c && counted.second.pending_operation_ == c->operation_id_)
-                counted.second.pending_operation_.clear();
-        }
-    }
-    std::vector<command> commands;
-    for (auto& [suspect, count] : p.state_.crashes_)
-    {
-        if (!count.pending_operation_.empty() ||
-            recorded_crashes(p.state_.machine_, suspect) >=
-                static_cast<std::int64_t>(count.servers_.size()))
-            continue;
-        change_command c =
-            make_suspect_change(p.state_.machine_, suspect, count, p.at_.wall_);
-        count.pending_operation_ = c.change_.operation_id_;
-        commands.push_back(std::move(c));
-    }
-    propose_commands(p, std::move(commands));
-    if (std::holds_alternative<timer_expired>(p.input_))
-        remove_expired_suspect(p);
-    return p;
-}
-
 pipeline_context notify_waiters(pipeline_context p)
 {
     bool const leads = is_leader(p.state_.consensus_);
--- a/packages/model/jackdawhall/model/forward_message.hpp
+++ b/packages/model/jackdawhall/model/forward_message.hpp
@@ -106,7 +106,17 @@
     host_name host_;
     std::string server_id_;
     std::vector<std::string> suspects_;
+    // Start of the process that crashed, which tells it from the next one under
+    // the same id: milliseconds since the Unix epoch.
+    std::int64_t started_ = 0;
     auto operator<=>(crash_report const&) const = default;
 };
+// Reports that a server ran a suspect to a good end.
+struct suspect_completed
+{
+    host_name host_;
+    std::string suspect_;
+    auto operator<=>(suspect_completed const&) const = default;
+};
 
 } // namespace jackdawhall
--- a/packages/model/jackdawhall/model/message.hpp
+++ b/packages/model/jackdawhall/model/message.hpp
@@ -176,7 +176,7 @@
 {
     host_name host_;
     std::string server_id_;
-    std::int64_t started_ = 0;  // as in departure_v1
+    std::int64_t started_ = 0; // as in departure_v1
     std::int64_t sequence_ = 0;
     auto operator<=>(departure_report const&) const = default;
 };
@@ -406,7 +406,7 @@
     change_response, forward_request, forward_response, cancel_forward,
     crash_report, control_host_list, document_request, forward_inquiry,
     forward_report, resent_document, confirmation_request,
-    confirmation_response, departure_report>;
+    confirmation_response, departure_report, suspect_completed>;
 
 // A message to send.
 struct outgoing
--- a/packages/model/jackdawhall/model/record.hpp
+++ b/packages/model/jackdawhall/model/record.hpp
@@ -154,15 +154,19 @@
 {
     std::int64_t crashes_ = 0;
     std::int64_t expires_ms_ = 0; // milliseconds since the Unix epoch
+    // Fingerprints of the processes that crashed, in ascending order. Crashes
+    // counted by an earlier build have none.
+    std::vector<std::string> processes_;
     auto operator<=>(suspect_v1 const&) const = default;
 };
 
 // Every daemon refuses a suspect with this many crashes or more.
 inline constexpr std::int64_t quarantine_crash_threshold = 2;
 
-// A process of a backend server that said that it leaves, and gets no more work.
-// The record is named "<host>/<server id>" and written by the leader of the
-// control hosts; what its server says later of an earlier moment is outdated.
+// A process of a backend server that said that it leaves, and gets no more
+// work. The record is named "<host>/<server id>" and written by the leader of
+// the control hosts; what its server says later of an earlier moment is
+// outdated.
 struct departure_v1
 {
     // Start and sequence number of its last announcement, as announced.
--- a/packages/wire/jackdawhall/wire/fields.hpp
+++ b/packages/wire/jackdawhall/wire/fields.hpp
@@ -64,7 +64,9 @@
     &document::text_, &document::contents_)
 JACKDAWHALL_FIELDS(
     document_command, &document_command::document_, &document_command::when_)
-JACKDAWHALL_FIELDS(suspect_v1, &suspect_v1::crashes_, &suspect_v1::expires_ms_)
+JACKDAWHALL_FIELDS(
+    suspect_v1, &suspect_v1::crashes_, &suspect_v1::expires_ms_,
+    &suspect_v1::processes_)
 JACKDAWHALL_FIELDS(
     departure_v1, &departure_v1::started_, &departure_v1::sequence_,
     &departure_v1::recorded_ms_)
@@ -272,7 +274,9 @@
 JACKDAWHALL_FIELDS(forward_report, &forward_report::forwards_)
 JACKDAWHALL_FIELDS(
     crash_report, &crash_report::host_, &crash_report::server_id_,
-    &crash_report::suspects_)
+    &crash_report::suspects_, &crash_report::started_)
+JACKDAWHALL_FIELDS(
+    suspect_completed, &suspect_completed::host_, &suspect_completed::suspect_)
 JACKDAWHALL_FIELDS(
     departure_report, &departure_report::host_, &departure_report::server_id_,
     &departure_report::started_, &departure_report::sequence_)
