--- a/packages/calls/jackdawhall/calls/end_runs.cpp
+++ b/packages/calls/jackdawhall/calls/end_runs.cpp
@@ -48,6 +48,14 @@
         w.state_->settings_.admission_);
 }
 
+// Whether a connection may have broken because the server crashed, before its
+// answer or within it.
+bool may_be_crash(indeterminate_reason reason)
+{
+    return reason == indeterminate_reason::connection_lost ||
+           reason == indeterminate_reason::answer_incomplete;
+}
+
 // Whether a run ended by a fault of the server itself; nullopt if this cannot
 // be told.
 std::optional<bool>
@@ -72,10 +80,7 @@
             },
             [&](connection_broken const& b) -> std::optional<bool>
             {
-                bool const lost =
-                    b.reason_ == indeterminate_reason::connection_lost ||
-                    b.reason_ == indeterminate_reason::answer_incomplete;
-                if (run.cancelled_ || !lost)
+                if (run.cancelled_ || !may_be_crash(b.reason_))
                     return std::nullopt;
                 return true;
             },
@@ -197,12 +202,14 @@
                     run.cancelled_ ? indeterminate_reason::cancelled
                                    : b.reason_;
                 send_answer(w, run, may_have_run{reason}, false);
-                if (!still_known || run.cancelled_ ||
-                    b.reason_ != indeterminate_reason::connection_lost)
+                if (!still_known || run.cancelled_ || !may_be_crash(b.reason_))
                     return;
                 server->second.broken_requests_.emplace_back(
                     w.at_.now_, run.suspect_);
-                probe(w, server->second);
+                // A server that cuts answers short mostly goes on: whether it
+                // has ended, the next connection shows.
+                if (b.reason_ == indeterminate_reason::connection_lost)
+                    probe(w, server->second);
             },
         },
         done.outcome_);
--- a/test/correctness/crashes_of_one_server.cpp
+++ b/test/correctness/crashes_of_one_server.cpp
@@ -221,6 +221,21 @@
     CHECK(reported_suspects(node) == suspects{"killer"});
 }
 
+TEST_CASE("a request that crashes its server within the answer is a suspect")
+{
+    single_node node;
+    node.announce("a");
+    call_number const killing = start_run(node, 1, "killer");
+    node.give(run_finished{
+        killing, connection_broken{indeterminate_reason::answer_incomplete}});
+    CHECK(node.made<probe_server>().empty());
+    call_number const next = start_run(node, 2, "next");
+    node.give(run_finished{next, not_connected{}});
+    REQUIRE(node.made<probe_server>().size() == 1);
+    node.give(probe_result{"a", false});
+    CHECK(reported_suspects(node) == suspects{"killer"});
+}
+
 TEST_CASE("a crash shows in the announcement of the next process")
 {
     single_node node;
