Wait for all runs at a server that has ended before its crash is reported

The connections of a process that ends break one after the other. The first one that is seen makes a probe, the probe shows at once that nothing listens, and the report named what had broken by then. A request whose connection broke later was no suspect, and was held against the next process under the same id.

Change: a server that has ended is kept with its unfinished runs, for 0.5 s at most; those that break off are suspects too.

Beside it: the next process of a server that left is told by its start alone, so that its first announcement counts although it has number 0; and records of departures can be read from JSON, as those of suspects can.

--- a/packages/calls/jackdawhall/calls/end_runs.cpp
+++ b/packages/calls/jackdawhall/calls/end_runs.cpp
@@ -88,6 +88,12 @@
         outcome);
 }
 
+bool broke_off(gate_run const& run, backend_outcome const& outcome)
+{
+    connection_broken const* b = std::get_if<connection_broken>(&outcome);
+    return b && !run.cancelled_ && may_be_crash(b->reason_);
+}
+
 // Whether the time of a run is over, as its entry saw it: its cancellation is
 // under way for a moment.
 bool is_overdue(gate_run const& run, instant now)
@@ -160,8 +166,11 @@
     if (known == s.runs_.end())
         return w;
     gate_run const run = std::move(known->second);
+    bool const at_ended_server =
+        note_end_of_run(w, run, broke_off(run, done.outcome_));
     auto const server = s.local_servers_.find(run.server_id_);
-    bool const still_known = server != s.local_servers_.end();
+    bool const still_known =
+        !at_ended_server && server != s.local_servers_.end();
     erase_run(s, run);
     w.effects_.push_back(
         observe_duration{stage::server, w.at_.now_ - run.started_at_});
@@ -202,7 +211,7 @@
                     run.cancelled_ ? indeterminate_reason::cancelled
                                    : b.reason_;
                 send_answer(w, run, may_have_run{reason}, false);
-                if (!still_known || run.cancelled_ || !may_be_crash(b.reason_))
+                if (!still_known || !broke_off(run, done.outcome_))
                     return;
                 server->second.broken_requests_.emplace_back(
                     w.at_.now_, run.suspect_);
--- a/packages/calls/jackdawhall/calls/pipeline.cpp
+++ b/packages/calls/jackdawhall/calls/pipeline.cpp
@@ -195,7 +195,7 @@
     w = track_lease(std::move(w));
     w = send_renewal(std::move(w));
     w = maintain_tokens(std::move(w));
-    w = repeat_crash_reports(std::move(w));
+    w = report_due_crashes(std::move(w));
     w = maintain_departures(std::move(w));
     return resend_claim_releases(std::move(w));
 }
@@ -315,8 +315,8 @@
         due = std::min(due, s.run_due_.begin()->first);
     if (!s.pending_releases_.empty())
         due = std::min(due, s.releases_due_);
-    if (!s.crash_reports_.empty())
-        due = std::min(due, s.crash_reports_due_);
+    if (std::optional<instant> const report = next_crash_report(s))
+        due = std::min(due, *report);
     if (std::optional<instant> const departures = next_departure_due(s))
         due = std::min(due, *departures);
     for (auto const& [account, held] : s.token_pools_)
--- a/packages/calls/jackdawhall/calls/pipeline_context.hpp
+++ b/packages/calls/jackdawhall/calls/pipeline_context.hpp
@@ -170,19 +170,24 @@
 // Removes a server that failed its probe, and reports the requests that broke
 // off shortly before as suspects.
 working_state handle_probe_result(working_state w, probe_result const& p);
-// Reports the requests that may have crashed a server, and keeps the report.
-void report_crash(
+// Reports the requests that may have crashed a server: `suspects`, and the runs
+// at it that break off within a moment.
+void note_ended_server(
     working_state& w, local_server const& server,
-    std::vector<std::string> suspects);
+    std::set<std::string> suspects);
+// Whether a run that finished was at a server that had ended before. If so and
+// it `broke` off, it may have crashed that server.
+bool note_end_of_run(working_state& w, gate_run const& run, bool broke);
+// Reports the crashes that are due, and keeps the reports.
+working_state report_due_crashes(working_state w);
+// When report_due_crashes has something to do; nullopt: it waits for nothing.
+std::optional<instant> next_crash_report(state const& s);
 // Notes that a server ran a request to a good end, which therefore crashes
 // none; reports it if crashes are held against the request.
 void note_completion(working_state& w, gate_run const& run, answer const& a);
 // Whether the server ran the request to a good end a short time ago.
 bool completed_lately(
     local_server const& server, std::string const& suspect, instant now);
-// Repeats, when due, the reports that may be lost: those whose suspects the
-// configuration doesn't hold yet.
-working_state repeat_crash_reports(working_state w);
 // Removes a backend server and refuses the runs queued for it.
 working_state remove_server(
     working_state w, std::string const& server_id, refusal_reason why);
--- a/packages/calls/jackdawhall/calls/record_departures.cpp
+++ b/packages/calls/jackdawhall/calls/record_departures.cpp
@@ -66,15 +66,16 @@
 }
 
 // Whether `a` was sent before the departure of its server, which is `age` old.
-// Announcements without numbers are told apart by their time alone.
+// Announcements of a process that don't state its start, or their number, may
+// count as sent before only for as long as they may be on their way.
 bool is_before(
     announcement const& a, std::int64_t started, std::int64_t sequence,
     duration age)
 {
+    if (a.started_ != 0 && a.started_ != started)
+        return a.started_ < started;
     bool const numbered = a.started_ != 0 && a.sequence_ != 0;
-    if (!numbered)
-        return a.sequence_ <= sequence && age < late_message_time;
-    return std::pair{a.started_, a.sequence_} <= std::pair{started, sequence};
+    return a.sequence_ <= sequence && (numbered || age < late_message_time);
 }
 
 void send_report(
--- a/packages/calls/jackdawhall/calls/remove_server.cpp
+++ b/packages/calls/jackdawhall/calls/remove_server.cpp
@@ -11,11 +11,10 @@
 namespace
 {
 
-// Takes the fingerprints of the requests that broke off shortly before the
-// server ended, but for those that it completed before. If crashes are
-// attributed to some of them already, only these are returned.
+// The fingerprints of the requests that broke off shortly before the server
+// ended, but for those that it completed before.
 std::set<std::string>
-take_suspects(working_state const& w, local_server& server)
+find_suspects(working_state const& w, local_server const& server)
 {
     std::set<std::string> recent;
     for (auto const& [when, suspect] : server.broken_requests_)
@@ -24,14 +23,7 @@
             !completed_lately(server, suspect, w.at_.now_))
             recent.insert(suspect);
     }
-    server.broken_requests_.clear();
-    std::set<std::string> suspects;
-    for (std::string const& suspect : recent)
-    {
-        if (crash_count(w.state_->configuration_, suspect, w.at_.wall_) > 0)
-            suspects.insert(suspect);
-    }
-    return suspects.empty() ? recent : suspects;
+    return recent;
 }
 
 // A deregistration that names no process may be that of an earlier one for as
@@ -108,10 +100,8 @@
 working_state remove_ended_server(
     working_state w, std::string const& server_id, refusal_reason why)
 {
-    local_server& server = w.state_->local_servers_.at(server_id);
-    std::set<std::string> const suspects = take_suspects(w, server);
-    if (!suspects.empty())
-        report_crash(w, server, {suspects.begin(), suspects.end()});
+    local_server const& server = w.state_->local_servers_.at(server_id);
+    note_ended_server(w, server, find_suspects(w, server));
     return remove_server(std::move(w), server_id, why);
 }
 
--- a/packages/calls/jackdawhall/calls/state.hpp
+++ b/packages/calls/jackdawhall/calls/state.hpp
@@ -310,6 +310,18 @@
     auto operator<=>(departure_waiter const&) const = default;
 };
 
+// A backend server whose process has ended, until the runs at it have finished:
+// those that break off may have crashed it.
+struct ended_server
+{
+    std::string server_id_;
+    std::int64_t started_ = 0; // as in crash_report
+    std::set<call_number> unfinished_;
+    std::set<std::string> suspects_; // fingerprints of those that broke off
+    instant report_due_;             // at the latest
+    auto operator<=>(ended_server const&) const = default;
+};
+
 // A report of a crash, repeated until what it reports is in the configuration.
 struct repeated_crash_report
 {
@@ -462,6 +474,7 @@
     std::map<call_number, gate_run> runs_;
     std::size_t queued_bytes_ = 0; // bodies of the runs that have not started
     std::map<std::pair<host_name, call_number>, call_number> run_of_forward_;
+    std::deque<ended_server> ended_servers_;          // oldest first
     std::deque<repeated_crash_report> crash_reports_; // oldest first
     instant crash_reports_due_;
     // When the completion of each suspect was last reported, by fingerprint.
--- a/packages/wire/jackdawhall/wire/json.cpp
+++ b/packages/wire/jackdawhall/wire/json.cpp
@@ -162,6 +162,14 @@
         integer(object, "crashes"), integer(object, "expires_ms")};
 }
 
+record_body departure_from(json const& object)
+{
+    allow_only(object, {"started", "sequence", "recorded_ms"});
+    return departure_v1{
+        integer(object, "started"), integer(object, "sequence"),
+        integer(object, "recorded_ms")};
+}
+
 record_key key_of(json const& object)
 {
     std::int64_t const schema = integer_or(object, "schema", 1);
@@ -187,6 +195,8 @@
             return service_from(object);
         if (key.kind_ == "suspect")
             return suspect_from(object);
+        if (key.kind_ == "departure")
+            return departure_from(object);
     }
     throw bad_json{
         "no record of kind '" + key.kind_ + "' has schema " +
--- a/test/correctness/crashes_of_one_server.cpp
+++ b/test/correctness/crashes_of_one_server.cpp
@@ -232,6 +232,37 @@
     CHECK(reported_suspects(node) == suspects{"killer"});
 }
 
+TEST_CASE("a run that breaks off after the probe that failed is a suspect")
+{
+    single_node node;
+    node.announce("a");
+    call_number const beside = start_run(node, 1, "usual");
+    call_number const killing = start_run(node, 2, "killer");
+    node.give(run_finished{beside, connection_broken{}});
+    node.give(probe_result{"a", false});
+    CHECK(node.sent<crash_report>().empty());
+    bool const restarted = GENERATE(true, false);
+    if (restarted)
+        node.announce("a", 2);
+    node.give(run_finished{killing, connection_broken{}});
+    CHECK(reported_suspects(node) == suspects{"killer", "usual"});
+    CHECK(node.made<probe_server>().empty());
+}
+
+TEST_CASE("a crash is reported soon, though a run at its server goes on")
+{
+    single_node node;
+    node.announce("a");
+    call_number const killing = start_run(node, 1, "killer");
+    start_run(node, 2, "usual");
+    node.give(run_finished{killing, connection_broken{}});
+    node.give(probe_result{"a", false});
+    REQUIRE(node.sent<crash_report>().empty());
+    CHECK(next_due(node.state()) <= node.now() + 500ms);
+    node.pass(500ms);
+    CHECK(reported_suspects(node) == suspects{"killer"});
+}
+
 TEST_CASE("a crash shows in the announcement of the next process")
 {
     single_node node;
--- a/test/correctness/departures_outlast_restarts.cpp
+++ b/test/correctness/departures_outlast_restarts.cpp
@@ -273,9 +273,10 @@
     set_up(fleet);
     REQUIRE(deregister(fleet) == recorded);
     bool const restarts = GENERATE(true, false);
+    std::int64_t const first_number = GENERATE(as<std::int64_t>{}, 0, 1);
     if (restarts)
         restart(fleet, gate);
-    calls::announcement next = ready(1);
+    calls::announcement next = ready(first_number);
     next.started_ = started + 5000;
     fleet.announce(gate, next);
     fleet.run_for(500ms);
