Keep the numbers of departures within bounds

The deregistration of a server has the largest sequence number; said again once it was recorded, as a server does whose acknowledgement was lost, one was added to it: undefined, found by reading. The next number is told by a subtraction now. A record of a departure whose time is no Unix time is refused, as the age is computed from it.

--- a/packages/calls/jackdawhall/calls/renew.cpp
+++ b/packages/calls/jackdawhall/calls/renew.cpp
@@ -202,7 +202,7 @@
 bool continues_departure(local_server const& before, announcement const& a)
 {
     return before.departure_recorded_ && a.state_ == server_state::draining &&
-           a.sequence_ == before.announcement_.sequence_ + 1;
+           a.sequence_ - 1 == before.announcement_.sequence_;
 }
 
 // Removes the server, which refuses its queued runs, and adds it again with an
--- a/packages/control/jackdawhall/control/apply_change.cpp
+++ b/packages/control/jackdawhall/control/apply_change.cpp
@@ -68,6 +68,16 @@
     return std::nullopt;
 }
 
+check_result check_departure(departure_v1 const& d)
+{
+    constexpr std::int64_t latest_ms = 10'000'000'000'000; // to the year 2286
+    if (d.recorded_ms_ >= 0 && d.recorded_ms_ <= latest_ms)
+        return std::nullopt;
+    return rejected{
+        "the time of a departure is out of range",
+        "write milliseconds since the Unix epoch"};
+}
+
 check_result check_body(record_body const& body)
 {
     return std::visit(
@@ -94,6 +104,7 @@
             [](account_v3 const& a)
             { return check_rate(a.milli_rate_, a.burst_); },
             [](route_v2 const& route) { return check_route(route); },
+            [](departure_v1 const& d) { return check_departure(d); },
             [](auto const&) { return check_result{}; },
         },
         body);
--- a/test/correctness/departures_outlast_restarts.cpp
+++ b/test/correctness/departures_outlast_restarts.cpp
@@ -146,6 +146,7 @@
     set_up(fleet);
     REQUIRE(runs_within(fleet, 500ms) > 0);
     REQUIRE(deregister(fleet) == recorded);
+    REQUIRE(deregister(fleet) == recorded); // the acknowledgement was lost
     if (killed)
         restart(fleet, gate);
     else
