Generate the start times of a departure by value

departures_outlast_restarts took a start time from GENERATE(started, 0). With a constant first, Catch2 holds references, the second one to a temporary that is gone by then. On the stack of one build the test named 7, an earlier start than the server's, in place of "not given", and rightly saw the server come back: 1 of 12 cases red in a sanitized build. The values are copied now; no other GENERATE of the tests holds a reference.

--- a/test/correctness/departures_outlast_restarts.cpp
+++ b/test/correctness/departures_outlast_restarts.cpp
@@ -170,7 +170,7 @@
 
 TEST_CASE("a server that leaves right after a restart of its daemon stays away")
 {
-    std::int64_t const named = GENERATE(started, std::int64_t{0});
+    std::int64_t const named = GENERATE(as<std::int64_t>{}, started, 0);
     memory_fleet fleet({});
     set_up(fleet);
     restart(fleet, gate);
