Let the sanitized build fit on a small disk

The last landing ended with "No space left on device" in the sanitized build: each of its 130 test programs held a copy of all packages with full debug information. test_departures_outlast_restarts had 339 MB, and the folder 2.1 GB with this one program linked. The same tests run, with the same checks. The other builds stay static.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -48,8 +48,9 @@
 run_tests "$build"
 
 step "tests under address and undefined-behaviour sanitizers"
+# Shared libraries: each test program would hold a copy of all the packages.
 cmake -S . -B "$sanitized" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
-  -DJACKDAWHALL_SANITIZE=ON > /dev/null &&
+  -DBUILD_SHARED_LIBS=ON -DJACKDAWHALL_SANITIZE=ON > /dev/null &&
   cmake --build "$sanitized" > "$sanitized/build.log" 2>&1 ||
   { tail -n 40 "$sanitized/build.log"; exit 1; }
 run_tests "$sanitized"
