--- a/test/correctness/quota_beside_lost_control_hosts.cpp
+++ b/test/correctness/quota_beside_lost_control_hosts.cpp
@@ -106,7 +106,9 @@
 
 } // namespace
 
-TEST_CASE("an account keeps to its rate while all control hosts restart")
+TEST_CASE(
+    "an account keeps to its rate while all control hosts restart",
+    "[control_hosts_restart]")
 {
     std::uint64_t const seed = GENERATE(1, 2, 3, 4);
     duration const after = GENERATE(duration{500ms}, duration{1500ms});
@@ -118,8 +120,10 @@
         most_allowed(account, tolerance));
 }
 
-TEST_CASE("an account keeps to its rate while control hosts restart and daemons"
-          " are cut off")
+TEST_CASE(
+    "an account keeps to its rate while control hosts restart and daemons"
+    " are cut off",
+    "[restart_and_cut_off]")
 {
     std::uint64_t const seed = GENERATE(1, 2, 3, 4);
     CAPTURE(seed);
@@ -135,7 +139,9 @@
             }) <= most_allowed(account, tolerance));
 }
 
-TEST_CASE("an account keeps to its rate while daemons are cut off")
+TEST_CASE(
+    "an account keeps to its rate while daemons are cut off",
+    "[daemons_cut_off]")
 {
     std::uint64_t const seed = GENERATE(1, 2);
     std::size_t const count = GENERATE(8, 12, 18, 23);
@@ -149,7 +155,9 @@
             }) <= most_allowed(account, tolerance));
 }
 
-TEST_CASE("an account keeps to its rate while all control hosts are frozen")
+TEST_CASE(
+    "an account keeps to its rate while all control hosts are frozen",
+    "[control_hosts_frozen]")
 {
     std::uint64_t const seed = GENERATE(1, 2);
     duration const length = GENERATE(duration{1500ms}, duration{2600ms});
